--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,592 @@
+//! Every decision of paddlefold. The interface it speaks is `src/api.rs`; its books are `src/state.rs`.
+//!
+//! The ordinary path: `arrive` and `advance` bring a read to `pick`, which takes from its key's candidate set
+//! (`candidates`) the cache with fewest of our requests in flight; `hedge` adds a copy where there is idle
+//! room; `outcome` lets the first served answer win, and only when all that were asked have missed does the
+//! read go to the origin. All else are exceptions, each with what it guards against. Every send passes
+//! `send`, every final answer `finish`.
+
+use std::collections::{BTreeMap, HashMap};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::api::*;
+use crate::state::*;
+
+/// Caches in a key's candidate set.
+const SET: usize = 3;
+/// Requests in flight that one rank is worth: below 1, to break ties only.
+const AFFINITY: f64 = 0.6;
+/// A cache this many times slower than its fellows has no idle room.
+const SLOW: f64 = 3.0;
+/// Copies and further tries that one request earns, and most that are saved up.
+const COPY_SHARE: f64 = 0.1;
+const RETRY_SHARE: f64 = 0.2;
+const SAVED: f64 = 10.0;
+/// The part of the collapse budget of cold caches that is used; a quarter more can be saved up.
+const COLD_PART: f64 = 0.75;
+/// A gate whose attempts go badly in more than this part is overrun, not unlucky.
+const STRAINED: f64 = 0.3;
+/// A cache that tells more of its cores in use than this is about to queue.
+const FULL: f64 = 0.95;
+/// Less time than this many times the usual is too little to send.
+const IN_TIME: f64 = 1.75;
+/// Attempts of ours at a gate at the start, and what is held to be usual at first.
+const START: f64 = 8.0;
+const USUAL: f64 = 48.0;
+/// So many nodes may keep their connections for the whole of the keep-alive time.
+const IDLE_NODES: f64 = 8.0;
+const IDLE_TIMER: TimerToken = TimerToken(u64::MAX - 1);
+/// A zone is cut off from ours when this many connections fail in a row while another zone answers.
+const CUT: u32 = 3;
+const LIST_TIMER: TimerToken = TimerToken(u64::MAX);
+
+/// Decides for one node; see [`on_event`](Balancer::on_event).
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    servers: BTreeMap<ServerId, Server>,
+    origin: Option<ServerId>,
+    caches: usize, // how many caches are up
+    open: HashMap<RequestId, Open>,
+    timings: Vec<Timing>, // response times by class; the last is for requests of no known class
+    arrived: Rate,
+    tenants: Vec<Rate>,
+    unsized_list: bool,          // the list tells no sizes: all weigh the same
+    zones: BTreeMap<u32, Reach>, // how the zones answer
+    kinds: BTreeMap<u32, Pace>,  // how quick the kinds of machines are
+    idle_time: Micros,           // how long a connection of ours may idle
+    copies: f64,
+    retries: f64,
+    /// Fetches that are out or wait for a place, by key, with those who wait for them.
+    flights: HashMap<u64, Vec<RequestId>>,
+    gates: [Gate; 2], // limits on what is out at the caches together, and at the origin
+    /// Calls for the list that failed in a row; none before the first call.
+    list_failures: Option<u32>,
+}
+
+impl Balancer {
+    /// A balancer that knows no server yet. Random choices come from `seed` alone.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let aims = settings.classes.iter().map(|c| c.aim as f64);
+        let usual = aims.clone().reduce(f64::min).filter(|&aim| aim > 0.0).unwrap_or(1e6);
+        Balancer {
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            servers: BTreeMap::new(),
+            origin: None,
+            caches: 0,
+            open: HashMap::new(),
+            timings: aims.chain([usual]).map(|aim| Timing::guess(aim / 3.0)).collect(),
+            arrived: Rate::new(now),
+            tenants: settings.tenant_shares.iter().map(|_| Rate::new(now)).collect(),
+            unsized_list: true,
+            zones: BTreeMap::new(),
+            kinds: BTreeMap::new(),
+            idle_time: (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros,
+            copies: 1.0,
+            retries: SAVED / 2.0,
+            flights: HashMap::new(),
+            gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, START, USUAL)),
+            list_failures: None,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done, in order.
+    pub fn on_event(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if self.settings.must_subscribe && self.list_failures.is_none() {
+            self.list_failures = Some(0);
+            out.push(Action::Subscribe);
+        }
+        match event {
+            Event::Members { scope, members } => self.members(scope, members, out),
+            Event::Request(request) if self.open.contains_key(&request.id) => {} // an id in use
+            Event::Request(request) => self.arrive(request, out),
+            Event::Outcome(end) => self.outcome(end, out),
+            Event::FirstByte { id, attempt } => {
+                if let Some(r) = self.open.get_mut(&id).filter(|r| attempt < r.tries.len()) {
+                    r.streaming = true;
+                    self.cancel(id, Some(attempt), out);
+                }
+            }
+            Event::ClientGone(id) => self.end(id, out),
+            Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
+            Event::Timer(IDLE_TIMER) => self.thin_out(out),
+            Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
+        }
+    }
+
+    // ---- the list ----
+
+    fn members(&mut self, scope: ListScope, members: Vec<Member>, out: &mut Vec<Action>) {
+        if scope == ListScope::Failed {
+            // Asked again soon at first, then more rarely, and never so rarely that the list counts as told.
+            let failures = self.list_failures.map_or(1, |n| n + 1).min(4);
+            self.list_failures = Some(failures);
+            let wait = (self.settings.must_ask_in / 32) << failures;
+            let after = (wait / 2 + self.rng.u64(0..=wait / 2)).max(self.settings.quantum);
+            return out.push(Action::SetTimer { after, token: LIST_TIMER });
+        }
+        self.list_failures = self.list_failures.map(|_| 0);
+        if scope == ListScope::Full {
+            self.servers.values_mut().for_each(|s| s.member.state = MemberState::Removed);
+        }
+        for mut member in members {
+            let steady = self.settings.steady_weights && member.weight.is_finite();
+            member.weight = if steady && member.weight > 0.0 { member.weight } else { 1.0 };
+            let cold_since = member.started.filter(|&t| self.now.saturating_sub(t) < self.settings.cold);
+            let server =
+                self.servers.entry(member.id).or_insert_with(|| Server::new(member.clone(), self.now));
+            if server.cold_since != cold_since {
+                // Cold and innocent again. Guards against: hundreds of nodes whose allowances grow in step.
+                server.restart(cold_since, self.now, self.rng.f64());
+            }
+            server.member = member;
+        }
+        self.servers.retain(|_, s| s.member.state != MemberState::Removed || !s.out.is_empty());
+        self.origin = self.servers.values().find(|s| s.is_origin()).map(|s| s.member.id);
+        let caches = || self.servers.values().filter(|s| s.is_cache());
+        self.caches = caches().count();
+        self.unsized_list = caches().zip(caches().skip(1)).all(|(a, b)| a.member.weight == b.member.weight);
+    }
+
+    // ---- the ordinary path ----
+
+    fn arrive(&mut self, request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        let class = request.class.filter(|&c| c < self.settings.classes.len());
+        let told = class.map(|c| &self.settings.classes[c]);
+        // A read of no told class changes nothing; a write might.
+        let untold = if request.write { Effect::Unsafe } else { Effect::Safe };
+        let key = match &request.key {
+            Some(key) => xxh3_64_with_seed(key.as_bytes(), 0),
+            None => self.rng.u64(..),
+        };
+        let mut open = Open::new(&request, key, told.map_or(untold, |c| c.effect), self.now);
+        open.class = class.unwrap_or(self.settings.classes.len());
+        open.aim = told.map_or(request.budget, |c| c.aim);
+        open.worth = self.worth(&request);
+        self.open.insert(id, open);
+        self.copies = (self.copies + COPY_SHARE).min(SAVED);
+        self.retries = (self.retries + RETRY_SHARE).min(SAVED);
+        self.advance(id, out);
+    }
+
+    /// The next step of a request that has no attempt out.
+    fn advance(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.open.get_mut(&id).filter(|r| !r.settled) else { return };
+        if r.outstanding() > 0 {
+            return; // a miss or failure ends nothing while a copy is out
+        }
+        r.wait = Wait::Nothing;
+        let (stored, again) = (r.stored, !r.tries.is_empty() && r.stored.is_none());
+        let (aside, most, class) = (self.settings.mode == Mode::Aside, self.settings.max_attempts, r.class);
+        if self.now + self.settings.quantum >= r.deadline || r.tries.len() >= most {
+            self.finish(id, out);
+        } else if aside && (r.write || r.missed() && stored.is_none()) {
+            self.fetch(id, out);
+        } else if again && self.retries < 1.0 && !r.write {
+            self.finish(id, out); // a failing fleet is not asked much more than a healthy one
+        } else if self.gates[CACHES].full() && !self.pick(id).is_some_and(|s| self.idle(s, class)) {
+            self.queue(CACHES, id, out); // slow caches may hold all places: idle room needs none
+        } else {
+            self.retries -= if again { 1.0 } else { 0.0 };
+            self.ask_cache(id, out);
+        }
+    }
+
+    fn ask_cache(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(stored) = self.open.get_mut(&id).map(|r| r.stored.take()) else { return };
+        let sent = stored.is_some_and(|server| self.send(id, server, out))
+            || self.pick(id).map(|s| s.member.id).is_some_and(|server| self.send(id, server, out));
+        if !sent && self.settings.mode == Mode::Aside && self.open[&id].repeatable() {
+            self.fetch(id, out); // no cache can take it
+        } else if !sent {
+            self.finish(id, out);
+        }
+    }
+
+    /// Of the key's candidates, the one with fewest of our requests in flight.
+    fn pick(&self, id: RequestId) -> Option<&Server> {
+        let r = &self.open[&id];
+        // One that was tried before only if all were.
+        let tried = |s: &Server| if r.tried(s.member.id) { 1e9 } else { 0.0 };
+        let cost = |(rank, s): &(usize, &Server)| tried(s) + self.load(s) + AFFINITY * *rank as f64;
+        self.candidates(r.key).into_iter().enumerate().min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|c| c.1)
+    }
+
+    /// The key's set: the caches that rank highest when it is hashed with each server's id.
+    /// Unusable caches slide it to the next rank.
+    fn candidates(&self, key: u64) -> Vec<&Server> {
+        // The own zone first, where crossing has a price: a point of it is not worth splitting the sets.
+        let near = (100.0 * self.settings.cross_zone_price).powf(1.5).max(1.0);
+        let mut ranked: Vec<(f64, &Server)> = Vec::with_capacity(self.servers.len());
+        for s in self.servers.values().filter(|s| s.is_cache()) {
+            let hash = xxh3_64_with_seed(&key.to_le_bytes(), s.member.id.0.into());
+            // Weighted rendezvous hashing: each cache wins keys in proportion to its weight.
+            let uniform = (hash >> 11) as f64 / (1u64 << 53) as f64 + f64::MIN_POSITIVE;
+            // Guards against: a slow kind that jams while a quick one idles, where no sizes are listed.
+            let slowness =
+                self.kinds.get(&s.member.kind).filter(|_| self.unsized_list).map_or(1.0, |k| k.slowness);
+            // Slow start: a cold cache wins keys by its warmth, which all nodes reckon alike from its start.
+            let near = if self.settings.zone == Some(s.member.zone) { near } else { 1.0 };
+            let weight = s.member.weight * s.warmth(&self.settings, self.now) * near;
+            ranked.push((-uniform.ln() * slowness / weight.max(f64::MIN_POSITIVE), s));
+        }
+        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.member.id.cmp(&b.1.member.id)));
+        let well = |s: &&Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
+        let usable = |s: &&Server| well(s) && self.allowance(s) >= 1.0 && !self.cut_off(s);
+        let ranked = || ranked.iter().map(|&(_, s)| s);
+        let set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
+        if set.is_empty() { ranked().take(SET).collect() } else { set }
+    }
+
+    /// Our requests in flight at a cache, in the time that they take there.
+    fn load(&self, s: &Server) -> f64 {
+        // A cache not yet heard from counts at the others' mean, never idle.
+        let mean = self.gates[CACHES].out as f64 / self.caches.max(1) as f64;
+        let held = (s.out.len() as f64).max(if s.heard.is_none() { mean } else { 0.0 });
+        (held + 1.0) * s.slowness
+    }
+
+    /// A copy of a late read, where another candidate has idle room and neither fleet nor origin strains.
+    fn hedge(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let r = &self.open[&id];
+        let first = r.tries.iter().find(|t| t.out).and_then(|t| self.servers.get(&t.server));
+        let copied = |s: &&Server| !s.member.origin && self.may_copy(r) && r.outstanding() == 1;
+        let Some(first) = first.filter(copied) else { return };
+        let well = |s: &&Server| !r.tried(s.member.id) && !self.suspect(s) && !self.cold(s);
+        let shut = self.copies < 1.0 || self.gates.iter().any(|g| g.full() || g.strain > STRAINED / 2.0);
+        let others: Vec<&Server> = self.candidates(r.key).into_iter().filter(well).collect();
+        let room = others.iter().find(|s| !shut && self.idle(s, r.class)).map(|s| s.member.id);
+        // An attempt overdue by far is as good as failed: a further try needs no idle room.
+        let overdue = self.suspect(first) && !self.gates[CACHES].full() && self.retries >= 1.0;
+        let further = others.first().filter(|_| overdue).map(|s| s.member.id);
+        if room.is_some_and(|to| self.send(id, to, out)) {
+            self.copies -= 1.0;
+        } else if further.is_some_and(|to| self.send(id, to, out)) {
+            self.retries -= 1.0;
+        } else if self.open[&id].deadline > self.now + self.settings.quantum {
+            self.wake(id, self.timings[self.open[&id].class].late(4.0), out);
+        }
+    }
+
+    /// Idle room: nothing of ours out, and about as quick as all are when uncongested.
+    fn idle(&self, s: &Server, class: usize) -> bool {
+        let timing = &self.timings[class];
+        s.out.is_empty() && s.slowness * timing.mean < SLOW / 2.0 * timing.base
+    }
+
+    fn may_copy(&self, r: &Open) -> bool {
+        self.settings.second_copies && r.repeatable() && !r.streaming
+    }
+
+    fn outcome(&mut self, end: AttemptEnd, out: &mut Vec<Action>) {
+        let id = end.id;
+        let Some(r) = self.open.get_mut(&id) else { return };
+        let Some(t) = r.tries.get_mut(end.attempt).filter(|t| t.out) else { return };
+        (t.out, t.may_have_run) = (false, end.outcome.may_have_run());
+        t.missed = end.outcome == Outcome::Miss;
+        let (to, key) = (t.server, r.key);
+        let stored = r.tries.iter().find(|t| t.missed).map(|t| t.server);
+        let at_origin = self.servers.get(&to).is_some_and(|s| s.member.origin);
+        let landed = r.leads && at_origin;
+        r.leads &= !landed;
+        self.observe(&end, to);
+        if end.settled {
+            self.end(id, out);
+        } else {
+            self.advance(id, out);
+        }
+        if landed {
+            self.land(key, stored.filter(|_| end.outcome == Outcome::Ok), out);
+        }
+        self.admit_queued(usize::from(at_origin), out);
+        if let Some(s) = self.servers.get_mut(&to).filter(|s| s.out.is_empty()) {
+            s.idle_since = Some(self.now);
+            out.push(Action::SetTimer { after: self.idle_time, token: IDLE_TIMER });
+        }
+        if self.open.get(&id).is_some_and(|r| r.settled && r.outstanding() == 0) {
+            self.open.remove(&id);
+        }
+    }
+
+    // ---- places at the caches and at the origin ----
+
+    /// A read that missed everywhere it was sent, or a write, goes to the origin.
+    fn fetch(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(origin) = self.origin else { return self.finish(id, out) };
+        let r = self.open.get_mut(&id).expect("caller holds it");
+        // Single-flight: reads of a key that is being fetched wait for that fetch.
+        if !r.write && !r.leads {
+            if let Some(waiting) = self.flights.get_mut(&r.key) {
+                waiting.push(id);
+                r.wait = Wait::Flight;
+                return self.wake(id, Micros::MAX, out);
+            }
+            self.flights.insert(r.key, Vec::new());
+            r.leads = true;
+        }
+        // Guards against: an origin overrun by hundreds of nodes, each with a fetch or two: writes fail.
+        if !r.write && self.rng.f64() < self.gates[ORIGIN].strain - STRAINED {
+            r.wait = Wait::Pause;
+            self.wake(id, self.gates[ORIGIN].timing.mean as Micros, out);
+        } else if self.gates[ORIGIN].full() {
+            self.queue(ORIGIN, id, out);
+        } else if !self.send(id, origin, out) {
+            self.finish(id, out);
+        }
+    }
+
+    /// Holds a request until there is a place: writes first, then by worth, reads that will be late last.
+    fn queue(&mut self, gate: usize, id: RequestId, out: &mut Vec<Action>) {
+        let r = self.open.get_mut(&id).expect("caller holds it");
+        r.wait = Wait::Place;
+        let in_time = if self.now <= r.arrived.saturating_add(r.aim / 2) { 1.0 } else { 0.01 };
+        r.ticket = self.gates[gate].push(r.worth * if r.write { 1e3 } else { in_time }, id);
+        self.wake(id, Micros::MAX, out);
+    }
+
+    /// Gives free places to those who wait for them.
+    fn admit_queued(&mut self, gate: usize, out: &mut Vec<Action>) {
+        while !self.gates[gate].full() {
+            let Some((_, _, id)) = self.gates[gate].queue.pop_first() else { return };
+            match self.origin.filter(|_| gate == ORIGIN) {
+                Some(origin) if self.send(id, origin, out) => {}
+                None if gate == CACHES => self.ask_cache(id, out),
+                _ => self.finish(id, out),
+            }
+        }
+    }
+
+    /// A fetch ended: those who waited for it read what it stored, or one of them fetches anew.
+    fn land(&mut self, key: u64, stored: Option<ServerId>, out: &mut Vec<Action>) {
+        for id in self.flights.remove(&key).unwrap_or_default() {
+            if let Some(r) = self.open.get_mut(&id).filter(|r| r.wait == Wait::Flight) {
+                r.stored = stored;
+                self.advance(id, out);
+            }
+        }
+    }
+
+    /// Guards against: full connection tables, where many nodes each keep idle connections to all caches.
+    /// The more nodes, the sooner each closes its own, so that their sum at a cache does not grow with them.
+    fn thin_out(&mut self, out: &mut Vec<Action>) {
+        let over =
+            |s: &&mut Server| s.idle_since.is_some_and(|t| self.now >= t.saturating_add(self.idle_time));
+        for s in self.servers.values_mut().filter(over) {
+            s.idle_since = None;
+            out.push(Action::Disconnect(s.member.id));
+        }
+    }
+
+    /// Adapts how many attempts we keep out: fewer when much goes badly, more while all goes well, and
+    /// quickly so up to half the usual: after a restart or a jam a node is not held back.
+    fn adapt(gate: &mut Gate, now: Micros, bad: bool, tau: f64) {
+        gate.note(bad, STRAINED / 3.0, now, tau);
+        if !bad && gate.out as f64 + 1.0 > gate.limit / 2.0 {
+            gate.limit += if gate.limit < gate.usual / 2.0 { 0.5 } else { 1.0 / gate.limit };
+        } else if bad && gate.strain > STRAINED && now >= gate.cut_at {
+            gate.limit = (gate.limit.min(gate.out as f64 + 1.0) * 0.7).max(1.0);
+            gate.cut_at = now + gate.timing.mean as Micros;
+        }
+    }
+
+    // ---- health, learned from our own traffic ----
+
+    fn observe(&mut self, end: &AttemptEnd, to: ServerId) {
+        let (class, aim) = self.open.get(&end.id).map_or((0, 0), |r| (r.class, r.aim));
+        let tau = self.tau();
+        let Some(s) = self.servers.get_mut(&to) else { return };
+        let overdue = s.close(end.id, end.attempt).is_some_and(|due| due <= self.now);
+        let (outcome, elapsed) = (end.outcome, end.elapsed);
+        let gate = &mut self.gates[usize::from(s.member.origin)];
+        gate.out = gate.out.saturating_sub(1);
+        // A queue shows in the time before it spoils the aim; a miss, or a fetch, is but one leg of its read.
+        let legs = if outcome == Outcome::Miss { 3 } else { 1 + u64::from(s.member.origin) };
+        let crowded = end.utilization > Some(FULL) || elapsed > aim / legs;
+        let bad = match outcome {
+            Outcome::Ok | Outcome::Miss | Outcome::TimedOut | Outcome::Canceled => crowded,
+            Outcome::Failed | Outcome::QueueFull | Outcome::ConnectError | Outcome::Reset => true,
+            Outcome::Ignored => return,
+        };
+        Self::adapt(gate, self.now, bad, tau);
+        if outcome == Outcome::Ok {
+            gate.timing.observe(elapsed);
+        }
+        let zone = self.zones.entry(s.member.zone).or_default();
+        zone.failed = if outcome == Outcome::ConnectError { zone.failed + 1 } else { 0 };
+        if s.member.origin {
+            return;
+        }
+        // One request of unusual cost does not brand a cache: a sample counts up to 6 times usual.
+        let sample = (elapsed as f64 / self.timings[class].mean.max(1.0)).min(2.0 * SLOW);
+        if outcome == Outcome::Ok && end.hit != Some(false) {
+            self.kinds.entry(s.member.kind).or_insert_with(Pace::new).observe(sample);
+        }
+        match outcome {
+            Outcome::Ok | Outcome::Miss | Outcome::Failed | Outcome::QueueFull => {
+                s.heard = Some(self.now);
+                s.silent = 0;
+            }
+            Outcome::ConnectError | Outcome::Reset | Outcome::TimedOut => s.silent += 1,
+            // A cancelled attempt tells something only if it was overdue.
+            Outcome::Canceled | Outcome::Ignored => s.silent += u32::from(overdue),
+        }
+        let slowness = match outcome {
+            // A miss waits for the origin, which is not the cache's fault.
+            Outcome::Ok if end.hit != Some(false) => sample,
+            Outcome::Canceled | Outcome::TimedOut => sample.max(s.slowness),
+            Outcome::QueueFull => 2.0 * SLOW,
+            _ => s.slowness,
+        };
+        s.slowness += (slowness - s.slowness) * if s.slowness > SLOW { 0.5 } else { 0.15 };
+        if outcome == Outcome::Ok {
+            self.timings[class].observe(elapsed);
+        }
+    }
+
+    /// Silent, or holding an attempt of ours that is long overdue.
+    fn suspect(&self, s: &Server) -> bool {
+        s.silent >= 2 || s.out.first().is_some_and(|o| o.0 <= self.now)
+    }
+
+    /// Guards against: candidates tried one by one in a zone that is cut off. Its caches are not dead:
+    /// one read at a time finds out when it is back.
+    fn cut_off(&self, s: &Server) -> bool {
+        let cut = self.zones.get(&s.member.zone).is_some_and(|z| z.failed >= CUT && self.now < z.retry_at);
+        cut && self.zones.values().any(|z| z.failed == 0)
+    }
+
+    fn cold(&self, s: &Server) -> bool {
+        s.warmth(&self.settings, self.now) < 1.0
+    }
+
+    /// Sends that a cold cache can take from us now. What arrives here for each cache is our part of their
+    /// capacity; every node keeping to that part, the cold one is not pushed over.
+    fn allowance(&self, s: &Server) -> f64 {
+        let share = self.arrived.per_second(self.now, self.tau()) / self.caches.max(1) as f64;
+        let rate = share * s.warmth(&self.settings, self.now) * self.settings.overload_factor * COLD_PART;
+        let (saved, at) = s.allowance;
+        let burst = (rate * self.settings.fall as f64 / 4e6).max(1.0);
+        if self.cold(s) { (saved + rate * (self.now - at) as f64 / 1e6).min(burst) } else { f64::INFINITY }
+    }
+
+    /// The time over which rates are reckoned.
+    fn tau(&self) -> f64 {
+        (self.settings.cold as f64 / 4.0).max(1e6)
+    }
+
+    /// What serving a request is worth: little beyond its tenant's share of this node's traffic.
+    fn worth(&mut self, request: &Request) -> f64 {
+        let (now, tau) = (self.now, self.tau());
+        let all = self.arrived.add(now, tau);
+        let worth = request.class.and_then(|c| self.settings.classes.get(c)).map_or(1.0, |c| c.worth);
+        let Some(tenant) = request.tenant.filter(|&t| t < self.tenants.len()) else { return worth };
+        let share = self.tenants[tenant].add(now, tau) / all;
+        let over = share > 1.25 * self.settings.tenant_shares[tenant];
+        worth * if over { self.settings.over_share_worth } else { 1.0 }
+    }
+
+    // ---- what every send and every final answer passes ----
+
+    /// Every send. Says whether it was allowed.
+    fn send(&mut self, id: RequestId, to: ServerId, out: &mut Vec<Action>) -> bool {
+        let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
+        let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
+        let late = self.now + self.settings.quantum.max((timing.base * IN_TIME) as Micros) >= r.deadline;
+        if r.settled || r.streaming || late || r.tries.len() >= self.settings.max_attempts {
+            return false; // nothing goes out after the end
+        }
+        if s.member.state != MemberState::Up || r.outstanding() > 0 && !self.may_copy(r) {
+            return false; // drains are kept from the moment they are told, and writes have no copy
+        }
+        let mut ran = r.tries.iter().filter(|t| t.out || t.may_have_run);
+        let allowed = match r.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            // Within the group that discards repeats, while it surely still remembers.
+            Effect::Keyed { scope, window } => ran.all(|t| {
+                let first = self.servers.get(&t.server).map(|f| &f.member);
+                self.now < t.sent.saturating_add(window - window / 8)
+                    && first.is_some_and(|f| f.groups_with(&s.member, scope))
+            }),
+        };
+        // A cold cache gets no more than our part of what it can take, whoever asks.
+        let allowance = self.allowance(s);
+        if !allowed || allowance < 1.0 {
+            return false;
+        }
+        let (left, suspect, origin) = (r.deadline - self.now, self.suspect(s), s.member.origin);
+        let (hedge_in, due_in) = (timing.late(4.0), timing.late(6.0).max(1));
+        let hedges = self.may_copy(r) && r.outstanding() == 0 && !origin && hedge_in < left;
+        let s = self.servers.get_mut(&to).expect("looked up above");
+        let r = self.open.get_mut(&id).expect("looked up above");
+        s.allowance = (allowance - 1.0, self.now);
+        let zone = self.zones.entry(s.member.zone).or_default();
+        let retry_at = self.now + 4 * due_in; // readmitted by a trickle
+        s.retry_at = if suspect { retry_at } else { s.retry_at };
+        zone.retry_at = if zone.failed + 1 >= CUT { retry_at } else { zone.retry_at };
+        s.idle_since = None;
+        s.out.insert((self.now + due_in, id, r.tries.len()));
+        self.gates[usize::from(origin)].out += 1;
+        r.wait = Wait::Nothing;
+        r.tries.push(Try { server: to, sent: self.now, out: true, may_have_run: false, missed: false });
+        out.push(Action::Send { id, server: to, timeout: left });
+        if hedges {
+            self.wake(id, hedge_in, out);
+        }
+        true
+    }
+
+    /// Every final answer of our own: refused where that is surely harmless, else failed.
+    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
+        if r.effect == Effect::Safe || r.tries.iter().all(|t| !t.out && !t.may_have_run) {
+            let pause = self.timings[r.class].late(4.0).min(self.settings.max_retry_after / 2);
+            out.push(Action::Refuse { id, retry_after: pause + self.rng.u64(0..=pause) });
+        } else {
+            out.push(Action::Fail(id));
+        }
+        self.end(id, out);
+    }
+
+    /// The request has ended: what is still out is called off, who waited for it goes on.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.open.get_mut(&id).filter(|r| !r.settled) else { return };
+        r.settled = true;
+        self.gates.iter_mut().for_each(|gate| gate.leave(&r.ticket));
+        let (key, leads) = (r.key, std::mem::take(&mut r.leads));
+        self.cancel(id, None, out);
+        if leads {
+            self.land(key, None, out);
+        }
+        if self.open.get(&id).is_some_and(|r| r.outstanding() == 0) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn cancel(&self, id: RequestId, keep: Option<usize>, out: &mut Vec<Action>) {
+        let tries = self.open[&id].tries.iter().enumerate().filter(|_| self.settings.cancel);
+        let losers = tries.filter(|(n, t)| t.out && Some(*n) != keep);
+        out.extend(losers.map(|(attempt, _)| Action::Cancel { id, attempt }));
+    }
+
+    fn timer(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
+        if r.outstanding() > 0 {
+            self.hedge(id, out);
+        } else if r.wait == Wait::Pause || self.now + self.settings.quantum >= r.deadline {
+            self.advance(id, out);
+        }
+    }
+
+    /// A timer for a request, due before its end at the latest.
+    fn wake(&self, id: RequestId, after: Micros, out: &mut Vec<Action>) {
+        let left = self.open[&id].deadline.saturating_sub(self.now + self.settings.quantum);
+        out.push(Action::SetTimer { after: after.min(left).max(1), token: TimerToken(id.0.into()) });
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions for a proxy that spreads keys over cache servers before a slow origin.
+//!
+//! A [`Balancer`] is fed [`Event`]s and answers with [`Action`]s. It does no I/O, reads no clock
+//! and starts no thread: the embedder carries the actions out and tells it the time.
+//!
+//! ```
+//! use paddlefold::{Action, Balancer, Event, ListScope, Member, Request, RequestId, ServerId, Settings};
+//!
+//! let mut balancer = Balancer::new(Settings::default(), 7, 0);
+//! let mut actions = Vec::new();
+//!
+//! // The list of servers comes first.
+//! let members = (1..=4).map(|id| Member::up(ServerId(id))).collect();
+//! balancer.on_event(0, Event::Members { scope: ListScope::Full, members }, &mut actions);
+//!
+//! // A read of one key, with a second to answer it, is sent to one cache of that key's set.
+//! let read = Request { key: Some("calendar:12".into()), budget: 1_000_000, ..Request::new(RequestId(1)) };
+//! balancer.on_event(10, Event::Request(read), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: RequestId(1), .. })));
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod api;
+mod brain;
+mod state;
+pub mod wire;
+
+pub use api::*;
+pub use brain::Balancer;
+
+/// The README's example, compiled and run as a test.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,279 @@
+//! What the module keeps on its books: plain data and statistics. No decision is made here.
+
+use std::collections::BTreeSet;
+
+use crate::api::*;
+
+/// A rate, from a sum that decays with `tau` microseconds.
+pub(crate) struct Rate {
+    sum: f64,
+    at: Micros,
+}
+
+impl Rate {
+    pub fn new(now: Micros) -> Self {
+        Rate { sum: 0.0, at: now }
+    }
+    pub fn per_second(&self, now: Micros, tau: f64) -> f64 {
+        self.sum * (-((now - self.at) as f64) / tau).exp() / tau * 1e6
+    }
+    /// Counts one more; tells the rate.
+    pub fn add(&mut self, now: Micros, tau: f64) -> f64 {
+        self.sum = self.sum * (-((now - self.at) as f64) / tau).exp() + 1.0;
+        self.at = now;
+        self.sum / tau * 1e6
+    }
+}
+
+/// Response times: a moving mean and mean deviation.
+pub(crate) struct Timing {
+    pub mean: f64,
+    dev: f64,
+    /// The mean when nothing is wrong: the least seen lately.
+    pub base: f64,
+}
+
+impl Timing {
+    /// A guess, before the first answer.
+    pub fn guess(mean: f64) -> Self {
+        Timing { mean, dev: mean / 4.0, base: mean }
+    }
+    pub fn observe(&mut self, elapsed: Micros) {
+        let off = elapsed as f64 - self.mean;
+        self.mean += off / 16.0;
+        self.dev += (off.abs() - self.dev) / 16.0;
+        self.base = self.mean.min(self.base * 1.0005);
+    }
+    /// The time by which few are still out.
+    pub fn late(&self, devs: f64) -> Micros {
+        (self.mean + devs * self.dev) as Micros
+    }
+}
+
+/// Response times of one kind of machine in comparison with all, 1 being usual.
+pub(crate) struct Pace {
+    pub slowness: f64,
+    samples: f64,
+}
+
+impl Pace {
+    pub fn new() -> Self {
+        Pace { slowness: 1.0, samples: 8.0 }
+    }
+    pub fn observe(&mut self, sample: f64) {
+        self.samples = (self.samples + 1.0).min(64.0);
+        self.slowness += (sample - self.slowness) / self.samples;
+    }
+}
+
+/// How a zone answers.
+#[derive(Default)]
+pub(crate) struct Reach {
+    /// Connections that failed in a row, to whichever of its servers.
+    pub failed: u32,
+    /// When it may be tried again.
+    pub retry_at: Micros,
+}
+
+/// The two gates.
+pub(crate) const CACHES: usize = 0;
+pub(crate) const ORIGIN: usize = 1;
+
+/// Orders those who wait for a place.
+pub(crate) type Ticket = (u64, u64, RequestId);
+
+/// A limit on our attempts out at the caches together, or at the origin, and who waits for a place.
+pub(crate) struct Gate {
+    pub timing: Timing,
+    pub limit: f64,
+    pub out: usize,
+    /// The part of the latest attempts that went badly.
+    pub strain: f64,
+    /// When that was last reckoned.
+    pub noted: Micros,
+    /// What is out while all goes well.
+    pub usual: f64,
+    /// No cut of the limit before this time.
+    pub cut_at: Micros,
+    /// Most valuable first, then newest first.
+    pub queue: BTreeSet<Ticket>,
+    pub queued: u64,
+}
+
+impl Gate {
+    pub fn new(mean: f64, limit: f64, usual: f64) -> Self {
+        Gate {
+            timing: Timing::guess(mean),
+            limit,
+            out: 0,
+            strain: 0.0,
+            noted: 0,
+            usual,
+            cut_at: 0,
+            queue: BTreeSet::new(),
+            queued: 0,
+        }
+    }
+    /// Notes how an attempt went; with little strain, `calm` or less, what is out is the usual.
+    pub fn note(&mut self, bad: bool, calm: f64, now: Micros, tau: f64) {
+        // Few attempts age by time, many by count.
+        let part = 1.0 - (-(now.saturating_sub(self.noted) as f64) / tau).exp();
+        self.noted = now;
+        self.strain += (f64::from(u8::from(bad)) - self.strain) * part.max(1.0 / 16.0);
+        if self.strain < calm {
+            self.usual += (self.out as f64 + 1.0 - self.usual) / 64.0;
+        }
+    }
+    pub fn full(&self) -> bool {
+        self.out as f64 + 1.0 > self.limit
+    }
+    pub fn leave(&mut self, ticket: &Ticket) {
+        self.queue.remove(ticket);
+    }
+    /// Queues a request; the ticket is its place.
+    pub fn push(&mut self, worth: f64, id: RequestId) -> Ticket {
+        self.queued += 1;
+        let ticket = (u64::MAX - (worth * 1e3) as u64, u64::MAX - self.queued, id);
+        self.queue.insert(ticket);
+        ticket
+    }
+}
+
+pub(crate) struct Server {
+    pub member: Member,
+    /// When it last started cold, as far as we know.
+    pub cold_since: Option<Micros>,
+    /// Our attempts out there, by the time from which each is a sign of trouble.
+    pub out: BTreeSet<(Micros, RequestId, usize)>,
+    /// Response times in comparison with all caches, 1 being usual.
+    pub slowness: f64,
+    pub heard: Option<Micros>,
+    /// Since when a connection to it idles.
+    pub idle_since: Option<Micros>,
+    /// Attempts without an answer, in a row.
+    pub silent: u32,
+    /// While it is left out: when one request may try it again.
+    pub retry_at: Micros,
+    /// Saved-up sends while cold, and when that was reckoned.
+    pub allowance: (f64, Micros),
+}
+
+impl Server {
+    pub fn new(member: Member, now: Micros) -> Self {
+        Server {
+            member,
+            cold_since: None,
+            out: BTreeSet::new(),
+            slowness: 1.0,
+            heard: None,
+            idle_since: None,
+            silent: 0,
+            retry_at: now,
+            allowance: (0.0, now),
+        }
+    }
+    /// Strikes off an attempt; tells from when it was a sign of trouble.
+    pub fn close(&mut self, id: RequestId, attempt: usize) -> Option<Micros> {
+        let entry = self.out.iter().find(|o| (o.1, o.2) == (id, attempt)).copied()?;
+        self.out.remove(&entry);
+        Some(entry.0)
+    }
+    /// Started anew: cold, unless that is long ago, and innocent, with some part of a send saved up.
+    pub fn restart(&mut self, cold_since: Option<Micros>, now: Micros, saved: f64) {
+        (self.cold_since, self.slowness, self.silent) = (cold_since, 1.0, 0);
+        self.allowance = (saved, now);
+    }
+    /// The part of its capacity that it has for certain, by what the settings state.
+    pub fn warmth(&self, settings: &Settings, now: Micros) -> f64 {
+        let from = settings.cold_from.clamp(0.0, 1.0);
+        match self.cold_since.map(|t| now.saturating_sub(t)).filter(|&age| age < settings.cold) {
+            Some(age) => from + (1.0 - from) * age as f64 / settings.cold as f64,
+            None => 1.0,
+        }
+    }
+    /// The origin, in service.
+    pub fn is_origin(&self) -> bool {
+        self.member.state == MemberState::Up && self.member.origin
+    }
+    /// In service, and not the origin.
+    pub fn is_cache(&self) -> bool {
+        self.member.state == MemberState::Up && !self.member.origin
+    }
+}
+
+pub(crate) struct Try {
+    pub server: ServerId,
+    pub sent: Micros,
+    pub out: bool,
+    pub may_have_run: bool,
+    pub missed: bool,
+}
+
+/// What a request without an attempt out waits for.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Wait {
+    Nothing,
+    /// Another request's fetch of its key.
+    Flight,
+    /// A place among our attempts at the caches, or at the origin.
+    Place,
+    /// A pause before the next try.
+    Pause,
+}
+
+/// A request that is owed an answer, or has an attempt out.
+pub(crate) struct Open {
+    pub class: usize,
+    pub aim: Micros,
+    pub worth: f64,
+    pub key: u64,
+    pub deadline: Micros,
+    pub arrived: Micros,
+    pub write: bool,
+    pub effect: Effect,
+    pub tries: Vec<Try>,
+    pub wait: Wait,
+    /// Its latest place in a queue.
+    pub ticket: Ticket,
+    /// It fetches its key for others too.
+    pub leads: bool,
+    /// Where a fetch it waited for has stored the value.
+    pub stored: Option<ServerId>,
+    pub settled: bool,
+    pub streaming: bool,
+}
+
+impl Open {
+    pub fn new(request: &Request, key: u64, effect: Effect, now: Micros) -> Self {
+        Open {
+            class: 0,
+            aim: 0,
+            worth: 1.0,
+            key,
+            deadline: now.saturating_add(request.budget),
+            arrived: now,
+            write: request.write,
+            effect,
+            tries: Vec::new(),
+            wait: Wait::Nothing,
+            ticket: (0, 0, request.id),
+            leads: false,
+            stored: None,
+            settled: false,
+            streaming: false,
+        }
+    }
+    pub fn outstanding(&self) -> usize {
+        self.tries.iter().filter(|t| t.out).count()
+    }
+    pub fn tried(&self, server: ServerId) -> bool {
+        self.tries.iter().any(|t| t.server == server)
+    }
+    pub fn missed(&self) -> bool {
+        self.tries.iter().any(|t| t.missed)
+    }
+    /// Only safe reads are copied.
+    pub fn repeatable(&self) -> bool {
+        !self.write && self.effect == Effect::Safe
+    }
+}
--- /dev/null
+++ b/tests/ordinary_path.rs
@@ -0,0 +1,214 @@
+//! The path of an ordinary request, as the design page words it.
+
+mod common;
+use common::*;
+use paddlefold::*;
+
+#[test]
+fn an_idle_key_goes_to_one_cache_at_every_node() {
+    let mut a = Node::new(settings(Mode::Through), 10);
+    let mut b = Node::new(settings(Mode::Through), 10);
+    for n in 0..50 {
+        let key = format!("k{n}");
+        let first = a.serve(n, &key, 50_000);
+        assert_eq!(first, b.serve(n, &key, 50_000));
+        assert_eq!(first, a.serve(100 + n, &key, 50_000));
+    }
+}
+
+#[test]
+fn keys_spread_over_all_caches_and_only_those_of_a_lost_cache_move() {
+    let mut node = Node::new(settings(Mode::Through), 10);
+    let before: Vec<ServerId> = (0..400).map(|n| node.serve(n, &format!("k{n}"), 50_000)).collect();
+    let gone = Member { state: MemberState::Removed, ..Member::up(ServerId(4)) };
+    node.list(ListScope::Delta, vec![gone]);
+    for (n, &old) in (0..).zip(&before) {
+        let new = node.serve(1000 + n, &format!("k{n}"), 50_000);
+        assert!(new == old || old == ServerId(4), "key k{n} moved from {old:?} to {new:?}");
+        assert_ne!(new, ServerId(4));
+    }
+    assert!((1..=10).all(|id| before.contains(&ServerId(id))));
+}
+
+#[test]
+fn a_steady_weight_draws_keys_and_a_live_one_does_not() {
+    let share = |steady| {
+        let mut node = Node::new(Settings { steady_weights: steady, ..settings(Mode::Through) }, 0);
+        let member = |id| Member { weight: if id == 1 { 4.0 } else { 1.0 }, ..Member::up(ServerId(id)) };
+        node.list(ListScope::Full, (1..=5).map(member).collect());
+        (0..400).filter(|&n| node.serve(n, &format!("k{n}"), 50_000) == ServerId(1)).count()
+    };
+    assert!((150..250).contains(&share(true)), "half of the weight: {}", share(true));
+    assert!((40..120).contains(&share(false)), "a fifth of the caches: {}", share(false));
+}
+
+#[test]
+fn the_candidate_with_fewest_in_flight_gets_the_read_and_the_set_stays_small() {
+    let mut node = Node::new(settings(Mode::Through), 10);
+    node.warm_up();
+    let servers: Vec<ServerId> = (0..6).map(|n| sent(&node.read(1000 + n, "hot")).unwrap()).collect();
+    let mut set = servers.clone();
+    set.sort();
+    set.dedup();
+    assert!(set.len() <= 3, "candidates: {set:?}");
+    assert!(set.len() >= 2);
+    let busiest = set.iter().map(|s| servers.iter().filter(|t| t == &s).count()).max().unwrap();
+    assert!(busiest <= 3, "the load is spread: {servers:?}");
+}
+
+#[test]
+fn a_late_read_is_copied_into_idle_room_and_the_loser_is_cancelled() {
+    let mut node = Node::new(settings(Mode::Through), 6);
+    node.warm_up();
+    let actions = node.read(1000, "k1");
+    let first = sent(&actions).unwrap();
+    let (after, token) = timer(&actions).expect("a timer for the copy");
+    node.now += after;
+    let copy = sent(&node.timer(token)).expect("a copy");
+    assert_ne!(copy, first);
+    let served = node.end(1000, 1, Outcome::Ok, 40_000);
+    assert_eq!(cancels(&served), [0], "the loser is cancelled");
+}
+
+#[test]
+fn copies_keep_to_a_budget() {
+    let mut node = Node::new(settings(Mode::Through), 6);
+    node.warm_up();
+    let mut copies = 0;
+    for n in 1000..1200 {
+        let (after, token) = timer(&node.read(n, &format!("k{}", n - 1000))).unwrap();
+        node.now += after;
+        copies += usize::from(sent(&node.timer(token)).is_some());
+        node.end(n, 0, Outcome::Ok, after);
+    }
+    assert!((1..=30).contains(&copies), "a tenth of 200 reads, and ten saved up: {copies}");
+}
+
+#[test]
+fn settings_that_forbid_copies_and_cancels_are_obeyed() {
+    let mut s = settings(Mode::Through);
+    (s.second_copies, s.cancel) = (false, false);
+    let mut node = Node::new(s, 6);
+    let actions = node.read(1, "k");
+    node.now += 900_000;
+    if let Some((_, token)) = timer(&actions) {
+        assert_eq!(sent(&node.timer(token)), None);
+    }
+    assert!(cancels(&node.tell(Event::ClientGone(RequestId(1)))).is_empty());
+}
+
+#[test]
+fn a_miss_does_not_end_a_read_while_its_copy_is_out() {
+    let mut node = Node::new(settings(Mode::Aside), 6);
+    node.warm_up();
+    let (after, token) = timer(&node.read(1000, "k1")).unwrap();
+    node.now += after;
+    assert!(sent(&node.timer(token)).is_some_and(|s| s != ServerId(99)));
+    assert_eq!(sent(&node.end(1000, 0, Outcome::Miss, after)), None, "the copy may still serve it");
+    assert_eq!(sent(&node.end(1000, 1, Outcome::Miss, 10_000)), Some(ServerId(99)), "both missed");
+}
+
+#[test]
+fn misses_of_one_key_share_a_fetch() {
+    let mut node = Node::new(settings(Mode::Aside), 6);
+    let first = sent(&node.read(1, "k")).unwrap();
+    node.read(2, "k");
+    assert_eq!(sent(&node.end(1, 0, Outcome::Miss, 5_000)), Some(ServerId(99)));
+    let held = node.end(2, 0, Outcome::Miss, 5_000);
+    assert_eq!(sent(&held), None, "waits for the fetch that is out");
+    let landed = node.end(1, 1, Outcome::Ok, 30_000);
+    assert_eq!(sent(&landed), Some(first), "reads what the fetch stored");
+}
+
+#[test]
+fn writes_go_once_and_without_a_copy() {
+    let mut aside = Node::new(settings(Mode::Aside), 6);
+    assert_eq!(sent(&aside.request(1, "k", 1, true)), Some(ServerId(99)), "aside: to the origin");
+    let mut through = Node::new(settings(Mode::Through), 6);
+    let actions = through.request(1, "k", 1, true);
+    assert!(sent(&actions).is_some());
+    through.now += 500_000;
+    let later = timer(&actions).map(|(_, token)| through.timer(token)).unwrap_or_default();
+    assert_eq!(sent(&later), None, "no copy of a write");
+}
+
+#[test]
+fn requests_of_no_class_or_key_are_decided_by_the_page() {
+    let mut node = Node::new(settings(Mode::Through), 6);
+    let mut request = Request { budget: SECOND, ..Request::new(RequestId(1)) };
+    assert!(sent(&node.tell(Event::Request(request.clone()))).is_some());
+    assert!(sent(&node.end(1, 0, Outcome::Reset, 1_000)).is_some(), "a read of no told class is safe");
+    (request.id, request.write, request.class) = (RequestId(2), true, Some(77));
+    assert!(sent(&node.tell(Event::Request(request))).is_some());
+    let after = node.end(2, 0, Outcome::Reset, 1_000);
+    assert_eq!(after.first(), Some(&Action::Fail(RequestId(2))), "a write of no known class is unsafe");
+}
+
+#[test]
+fn the_origin_is_never_a_candidate() {
+    let mut node = Node::new(settings(Mode::Aside), 3);
+    for n in 0..200 {
+        assert_ne!(sent(&node.read(n, &format!("k{n}"))), Some(ServerId(99)));
+        node.end(n, 0, Outcome::Ok, 20_000);
+    }
+}
+
+#[test]
+fn a_keyed_try_is_left_its_time() {
+    // Guards against: keyed writes cut short, sent again and failed at the client's end.
+    let mut node = Node::new(settings(Mode::Through), 6);
+    for id in 0..100 {
+        node.request(id, &format!("k{id}"), 1, true);
+        node.now += 50_000;
+        node.end(id, 0, Outcome::Ok, 50_000);
+    }
+    let actions = node.request(1000, "k", 1, true);
+    let whole = |a: &Action| matches!(a, Action::Send { timeout, .. } if *timeout == 0 || *timeout >= SECOND);
+    assert!(actions.iter().any(whole), "{actions:?}");
+}
+
+/// Carries out the timers of a read that stays out; tells when another attempt went out, and how many
+/// timers it took.
+fn waits(node: &mut Node, actions: Vec<Action>) -> (Option<Micros>, usize) {
+    let (start, mut next) = (node.now, timer(&actions));
+    for timers in 1..100 {
+        let Some((after, token)) = next else { return (None, timers) };
+        node.now += after;
+        let actions = node.timer(token);
+        if sent(&actions).is_some() {
+            return (Some(node.now - start), timers);
+        }
+        next = timer(&actions);
+    }
+    panic!("a timer that is set again and again");
+}
+
+#[test]
+fn a_strained_fleet_gets_no_copy_but_a_read_at_a_silent_cache_is_sent_again() {
+    // Guards against: copies that feed an overload (i2c2f91), and reads given up with a silent cache.
+    let mut calm = Node::new(settings(Mode::Through), 6);
+    calm.warm_up();
+    let actions = calm.read(2000, "k1");
+    let copied = waits(&mut calm, actions).0.expect("a copy");
+    let mut strained = Node::new(settings(Mode::Through), 6);
+    strained.warm_up();
+    for id in 1000..1003 {
+        strained.read(id, &format!("k{id}"));
+        strained.end(id, 0, Outcome::Failed, 1_000);
+        strained.tell(Event::ClientGone(RequestId(id)));
+    }
+    let actions = strained.read(2000, "k1");
+    let again = waits(&mut strained, actions).0.expect("a further try");
+    assert!(again > copied, "{again} after the send, a copy after {copied}");
+}
+
+#[test]
+fn the_timer_of_a_late_read_comes_to_an_end() {
+    // Guards against: a timer that is set again and again in the read's last instant.
+    let mut node = Node::new(settings(Mode::Through), 1);
+    node.warm_up();
+    let actions = node.read(2000, "k1");
+    let (again, timers) = waits(&mut node, actions);
+    assert_eq!(again, None, "there is no other cache");
+    assert!(timers < 50, "{timers} timers");
+}
