--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 
 mod api;
 mod brain;
+pub mod setup;
 mod state;
 pub mod wire;
 
--- /dev/null
+++ b/src/node/config.rs
@@ -0,0 +1,111 @@
+//! What a node is told at its start: the environment, and the JSON file that it names.
+
+use std::env::{self, VarError};
+use std::net::SocketAddr;
+use std::{fmt, fs, io};
+
+use paddlefold::setup::{Setup, SetupError, Stated};
+use serde::Deserialize;
+
+use super::discovery::List;
+
+/// Descriptors that are neither clients' nor servers' connections: the standard streams, the
+/// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
+const RESERVED: usize = 24;
+/// Where the configuration sets no limit.
+const SOCKETS: usize = 1024;
+
+/// What a node is told.
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub known: List,
+    pub setup: Setup,
+}
+
+/// Why a node cannot start.
+#[derive(Debug)]
+pub enum ConfigError {
+    Missing(&'static str),
+    Unreadable(String, io::Error),
+    Malformed(String, serde_json::Error),
+    Address(&'static str, String),
+    Seed(String),
+    Settings(SetupError),
+    Sockets(usize),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Missing(name) => write!(f, "{name} is not set"),
+            ConfigError::Unreadable(path, error) => write!(f, "cannot read configuration {path}: {error}"),
+            ConfigError::Malformed(path, error) => write!(f, "bad configuration {path}: {error}"),
+            ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
+            ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
+            ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
+            ConfigError::Sockets(n) => {
+                write!(f, "a limit of {n} sockets is too low: {} wanted", 2 * RESERVED)
+            }
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: List,
+    settings: Stated,
+}
+
+#[derive(Deserialize, Default)]
+struct Limits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
+        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        let file: File = serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path, e))?;
+        let sockets = file.limits.sockets.unwrap_or(SOCKETS);
+        if sockets < 2 * RESERVED {
+            return Err(ConfigError::Sockets(sockets));
+        }
+        Ok(Config {
+            listen: address("EDGE_LISTEN", file.listen)?,
+            discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
+            sockets,
+            known: file.known,
+            setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
+        })
+    }
+
+    /// Most connections from clients, and to servers.
+    pub fn connection_limits(&self) -> (usize, usize) {
+        let room = self.sockets - RESERVED;
+        (room / 2, room - room / 2)
+    }
+}
+
+fn variable(name: &'static str) -> Result<Option<String>, ConfigError> {
+    match env::var(name) {
+        Ok(text) => Ok(Some(text)),
+        Err(VarError::NotPresent) => Ok(None),
+        Err(VarError::NotUnicode(text)) => Err(ConfigError::Address(name, text.to_string_lossy().into())),
+    }
+}
+
+fn address(name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
+    let text = variable(name)?.or(in_file).ok_or(ConfigError::Missing(name))?;
+    text.parse().map_err(|_| ConfigError::Address(name, text))
+}
--- /dev/null
+++ b/src/node/directory.rs
@@ -0,0 +1,171 @@
+//! The servers that discovery has named: their ids for the module, addresses and idle connections.
+
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use paddlefold::setup::{Setup, micros};
+use paddlefold::{Member, MemberState, ServerId};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::attempt::Connection;
+use super::discovery::{Entry, List, State};
+
+/// Whether a server may be sent anything new; shared with the attempts under way.
+#[derive(Clone)]
+pub struct Standing(Arc<AtomicBool>);
+
+impl Standing {
+    pub fn serving(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+struct Server {
+    name: String,
+    addr: SocketAddr,
+    origin: bool,
+    standing: Standing,
+    /// Connections between requests, the most recently used last.
+    idle: Vec<(Instant, Connection)>,
+}
+
+/// Where an attempt goes.
+pub struct Target {
+    pub addr: SocketAddr,
+    pub origin: bool,
+    pub standing: Standing,
+}
+
+/// The servers by id.
+pub struct Directory {
+    servers: HashMap<ServerId, Server>,
+    /// An idle connection is closed at this age: before the server does it.
+    idle_limit: Duration,
+}
+
+impl Directory {
+    pub fn new(keepalive: Duration) -> Self {
+        Directory { servers: HashMap::new(), idle_limit: keepalive * 9 / 10 }
+    }
+
+    /// Takes over a list; tells the module's view of its entries.
+    pub fn apply(&mut self, mut list: List, setup: &mut Setup) -> Vec<Member> {
+        // In order of their names: ids that collide come out alike at every node.
+        list.servers.sort_by(|a, b| a.id.cmp(&b.id));
+        if list.full {
+            let names = &list.servers;
+            let listed = |name: &String| names.binary_search_by(|e| e.id.cmp(name)).is_ok();
+            self.servers.retain(|_, server| listed(&server.name) || server.close());
+        }
+        list.servers.into_iter().map(|entry| self.enter(entry, setup)).collect()
+    }
+
+    fn enter(&mut self, entry: Entry, setup: &mut Setup) -> Member {
+        let id = self.id_of(&entry.id);
+        let origin = setup.is_origin(&entry.kind);
+        let state = match entry.state {
+            State::Serving => MemberState::Up,
+            State::Draining => MemberState::Draining,
+            State::Deleted => MemberState::Removed,
+        };
+        let server = self.servers.entry(id).or_insert_with(|| Server {
+            name: entry.id,
+            addr: entry.addr,
+            origin,
+            standing: Standing(Arc::new(AtomicBool::new(true))),
+            idle: Vec::new(),
+        });
+        server.origin = origin;
+        if server.addr != entry.addr {
+            server.addr = entry.addr;
+            server.idle.clear();
+        }
+        server.standing.0.store(state == MemberState::Up, Ordering::Relaxed);
+        if state != MemberState::Up {
+            server.idle.clear();
+        }
+        if state == MemberState::Removed {
+            self.servers.remove(&id);
+        }
+        Member {
+            id,
+            state,
+            zone: setup.zone(Cow::Owned(entry.zone)),
+            cell: entry.cell,
+            kind: setup.kind(Cow::Owned(entry.kind)),
+            weight: entry.weight.unwrap_or(1.0),
+            started: Some(entry.started_ms).filter(|&t| t > 0.0).map(micros),
+            origin,
+        }
+    }
+
+    /// The id of a name, which is the same at every node: a hash, and the next one where two names share it.
+    fn id_of(&self, name: &str) -> ServerId {
+        let ids = (0..).map(|seed| ServerId(xxh3_64_with_seed(name.as_bytes(), seed) as u32));
+        let mut free = ids.filter(|id| self.servers.get(id).is_none_or(|server| server.name == name));
+        free.next().expect("the ids outnumber the servers")
+    }
+
+    /// Where to send to a server, and the connection to use, if one is at hand.
+    pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<Connection>)> {
+        let limit = self.idle_limit;
+        let server = self.servers.get_mut(&id)?;
+        let mut pooled = None;
+        while let Some((since, connection)) = server.idle.pop() {
+            if now < since + limit && connection.is_live() {
+                pooled = Some(connection);
+                break;
+            }
+        }
+        let target = Target { addr: server.addr, origin: server.origin, standing: server.standing.clone() };
+        Some((target, pooled))
+    }
+
+    /// Keeps a connection for the next request, if its server still takes some at that address.
+    pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: Connection, now: Instant) {
+        if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
+            server.idle.push((now, connection));
+        }
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn disconnect(&mut self, id: ServerId) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.idle.clear();
+        }
+    }
+
+    /// Closes idle connections that are too old, or that the server has closed.
+    pub fn sweep(&mut self, now: Instant) {
+        let limit = self.idle_limit;
+        for server in self.servers.values_mut() {
+            server.idle.retain(|(since, connection)| now < *since + limit && connection.is_live());
+        }
+    }
+
+    /// How many connections are idle.
+    pub fn idle(&self) -> usize {
+        self.servers.values().map(|server| server.idle.len()).sum()
+    }
+
+    /// Closes the idle connection that was used longest ago.
+    pub fn close_oldest(&mut self) {
+        let oldest = self.servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].0);
+        if let Some(server) = oldest {
+            server.idle.remove(0);
+        }
+    }
+}
+
+impl Server {
+    /// Gone: attempts under way send nothing more. Returns false, to drop it.
+    fn close(&self) -> bool {
+        self.standing.0.store(false, Ordering::Relaxed);
+        false
+    }
+}
--- /dev/null
+++ b/src/node/driver.rs
@@ -0,0 +1,344 @@
+//! The one task that owns the module, the open requests and the timers.
+
+use std::collections::{HashMap, VecDeque};
+use std::future::poll_fn;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use paddlefold::setup::Setup;
+use paddlefold::{
+    Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
+};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio_util::time::{DelayQueue, delay_queue};
+
+use super::attempt::{self, Connection, Reply};
+use super::clients::{Answer, Command};
+use super::config::Config;
+use super::directory::{Directory, Target};
+use super::discovery::List;
+
+/// Kept back from a client's time, for the way of the answer and the grain of timers.
+const ON_THE_WAY: Micros = 5_000;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What the driver is told.
+///
+/// The channel has no bound of its own: sessions and attempts, of which there are only so many, each
+/// have few messages under way.
+pub enum Message {
+    Arrived(Arrival),
+    Gone(RequestId),
+    Ended(Ended),
+    List(List),
+    ListFailed,
+}
+
+/// A client's request.
+pub struct Arrival {
+    pub id: RequestId,
+    pub command: Command,
+    /// When its last byte was read.
+    pub at: Instant,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// An attempt that has run to its end.
+pub struct Ended {
+    id: RequestId,
+    attempt: usize,
+    reply: Reply,
+    server: ServerId,
+    addr: std::net::SocketAddr,
+    connection: Option<Connection>,
+}
+
+/// A request that is owed an answer or has an attempt out.
+struct Open {
+    command: Arc<Command>,
+    /// Taken by the final answer.
+    answer: Option<oneshot::Sender<Answer>>,
+    /// By their numbers; nothing once an attempt has ended.
+    attempts: Vec<Option<Running>>,
+}
+
+struct Running {
+    sent: Instant,
+    task: AbortHandle,
+    timer: delay_queue::Key,
+}
+
+enum Due {
+    Module(TimerToken),
+    Attempt(RequestId, usize),
+    Sweep,
+}
+
+/// Time since 1970, which never goes back.
+struct Clock {
+    start: Instant,
+    offset: Duration,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), offset }
+    }
+    fn now(&self) -> Micros {
+        (self.offset + self.start.elapsed()).as_micros() as Micros
+    }
+}
+
+/// Carries out what the module decides, and tells it what happens.
+pub struct Driver {
+    balancer: Balancer,
+    setup: Setup,
+    clock: Clock,
+    directory: Directory,
+    open: HashMap<RequestId, Open>,
+    /// Attempts under way: each holds a connection, or is making one.
+    running: usize,
+    connections: usize,
+    timers: DelayQueue<Due>,
+    /// What has happened and is not yet told.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    subscribe: Arc<Notify>,
+    to_self: UnboundedSender<Message>,
+    inbox: UnboundedReceiver<Message>,
+}
+
+impl Driver {
+    /// A driver that holds so many connections to servers at most.
+    pub fn new(
+        config: Config,
+        connections: usize,
+        subscribe: Arc<Notify>,
+        to_self: UnboundedSender<Message>,
+        inbox: UnboundedReceiver<Message>,
+    ) -> Self {
+        let (clock, settings) = (Clock::new(), config.setup.settings.clone());
+        let directory = Directory::new(Duration::from_micros(settings.keepalive));
+        let mut driver = Driver {
+            balancer: Balancer::new(settings, config.seed, clock.now()),
+            setup: config.setup,
+            clock,
+            directory,
+            open: HashMap::new(),
+            running: 0,
+            connections,
+            timers: DelayQueue::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            subscribe,
+            to_self,
+            inbox,
+        };
+        driver.timers.insert(Due::Sweep, SWEEP);
+        driver.list(List { full: true, ..config.known });
+        driver.decide();
+        driver
+    }
+
+    /// Runs until nobody can tell it anything.
+    pub async fn run(mut self) {
+        loop {
+            tokio::select! {
+                message = self.inbox.recv() => match message {
+                    Some(message) => self.told(message),
+                    None => return,
+                },
+                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
+            }
+            self.decide();
+        }
+    }
+
+    fn told(&mut self, message: Message) {
+        match message {
+            Message::Arrived(arrival) => self.arrived(arrival),
+            Message::Gone(id) => self.gone(id),
+            Message::Ended(ended) => self.ended(ended),
+            Message::List(list) => self.list(list),
+            Message::ListFailed => {
+                self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
+            }
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Module(token) => self.events.push_back(Event::Timer(token)),
+            Due::Attempt(id, attempt) => self.give_up(id, attempt, Outcome::TimedOut),
+            Due::Sweep => {
+                self.directory.sweep(Instant::now());
+                self.timers.insert(Due::Sweep, SWEEP);
+            }
+        }
+    }
+
+    /// Tells the module what has happened, and does what it asks for, until nothing is left.
+    fn decide(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.on_event(self.clock.now(), event, &mut actions);
+            actions.drain(..).for_each(|action| self.carry_out(action));
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, Duration::from_micros(timeout)),
+            Action::Cancel { id, attempt } => self.give_up(id, attempt, Outcome::Canceled),
+            Action::Refuse { id, retry_after } => self.answer(id, Answer::Busy(retry_after)),
+            Action::Fail(id) => self.answer(id, Answer::Failed),
+            Action::SetTimer { after, token } => {
+                self.timers.insert(Due::Module(token), Duration::from_micros(after));
+            }
+            Action::Subscribe => self.subscribe.notify_one(),
+            Action::Disconnect(server) => self.directory.disconnect(server),
+        }
+    }
+
+    fn list(&mut self, list: List) {
+        let scope = if list.full { ListScope::Full } else { ListScope::Delta };
+        let members = self.directory.apply(list, &mut self.setup);
+        self.events.push_back(Event::Members { scope, members });
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let Arrival { id, command, at, answer } = arrival;
+        let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
+        let request = Request {
+            id,
+            class: command.fact("c").and_then(|name| self.setup.class(name)),
+            tenant: command.fact("t").and_then(|name| self.setup.tenant(name)),
+            key: Some(command.key.clone()),
+            budget: command.wait.saturating_sub(spent),
+            write: command.value.is_some(),
+        };
+        let open = Open { command: Arc::new(command), answer: Some(answer), attempts: Vec::new() };
+        self.open.insert(id, open);
+        self.events.push_back(Event::Request(request));
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.answer = None;
+            self.events.push_back(Event::ClientGone(id));
+            self.close_if_done(id);
+        }
+    }
+
+    /// The final answer; a second one goes nowhere.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        if let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+            let _ = sender.send(answer); // the client may have left
+        }
+        self.close_if_done(id);
+    }
+
+    fn close_if_done(&mut self, id: RequestId) {
+        let done = |open: &Open| open.answer.is_none() && open.attempts.iter().all(Option::is_none);
+        if self.open.get(&id).is_some_and(done) {
+            self.open.remove(&id);
+        }
+    }
+
+    // ---- attempts ----
+
+    fn send(&mut self, id: RequestId, server: ServerId, wait: Duration) {
+        let now = Instant::now();
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts.len();
+        let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
+            let held = self.running + self.directory.idle();
+            if pooled.is_none() && held >= self.connections {
+                self.directory.close_oldest();
+            }
+            pooled.is_some() || self.running < self.connections
+        });
+        let Some((target, pooled)) = place else {
+            open.attempts.push(None);
+            return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
+        };
+        let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
+        let task = self.start(id, attempt, server, target, pooled, wait);
+        let open = self.open.get_mut(&id).expect("looked up above");
+        open.attempts.push(Some(Running { sent: now, task, timer }));
+        self.running += 1;
+    }
+
+    fn start(
+        &self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        target: Target,
+        pooled: Option<Connection>,
+        wait: Duration,
+    ) -> AbortHandle {
+        let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
+        let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
+        let work = async move {
+            let addr = target.addr;
+            let (reply, connection) = attempt::run(target, pooled, &command, wait, connect_timeout).await;
+            let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
+        };
+        tokio::spawn(work).abort_handle()
+    }
+
+    /// Strikes an attempt off; nothing if it has ended before.
+    fn close(&mut self, id: RequestId, attempt: usize) -> Option<Running> {
+        let running = self.open.get_mut(&id)?.attempts.get_mut(attempt)?.take()?;
+        self.running -= 1;
+        Some(running)
+    }
+
+    /// Stops waiting for an attempt: its connection closes.
+    fn give_up(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
+        let Some(running) = self.close(id, attempt) else { return };
+        running.task.abort();
+        if outcome != Outcome::TimedOut {
+            self.timers.try_remove(&running.timer);
+        }
+        self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let Ended { id, attempt, reply, server, addr, connection } = ended;
+        let running = self.close(id, attempt);
+        if let Some(connection) = connection {
+            self.directory.check_in(server, addr, connection, Instant::now());
+        }
+        let Some(running) = running else { return }; // given up before: a late outcome changes nothing
+        self.timers.try_remove(&running.timer);
+        if reply.outcome == Outcome::Ok
+            && let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take())
+        {
+            let _ = sender.send(Answer::Served(reply.value)); // the client may have left
+        }
+        self.tell_end(id, attempt, reply.outcome, running.sent.elapsed(), reply.hit);
+    }
+
+    fn tell_end(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        elapsed: Duration,
+        hit: Option<bool>,
+    ) {
+        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none());
+        let elapsed = elapsed.as_micros() as Micros;
+        let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
+        self.events.push_back(Event::Outcome(end));
+        self.close_if_done(id);
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,73 @@
+//! The node on real sockets: carries out what the module decides and tells it what happens.
+
+mod attempt;
+mod caches;
+mod clients;
+pub mod config;
+mod directory;
+mod discovery;
+mod driver;
+mod origin;
+mod resp;
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use config::Config;
+use driver::Driver;
+
+/// After word to stop, connections that were on their way are still taken for so long.
+const STILL_ACCEPTING: Duration = Duration::from_millis(500);
+/// What was taken is answered within the longest deadline, of which the platform grants so much ...
+const LONGEST_GRANTED: Duration = Duration::from_secs(3);
+/// ... and so much more: it grants 0.7 s.
+const LAST_WRITES: Duration = Duration::from_millis(600);
+
+/// Serves until SIGTERM, then answers what was taken.
+pub async fn run(config: Config) -> io::Result<()> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
+    let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
+    let (sender, inbox) = mpsc::unbounded_channel();
+    let subscribe = Arc::new(Notify::new());
+    let watching = discovery::Watch {
+        address: config.discovery,
+        asked: config.setup.settings.must_subscribe.then(|| subscribe.clone()),
+        after: config.known.version,
+        to: sender.clone(),
+    };
+    let (clients_limit, servers_limit) = config.connection_limits();
+    let driver = Driver::new(config, servers_limit, subscribe, sender.clone(), inbox);
+    let driver = tokio::spawn(driver.run());
+    tokio::spawn(watching.run());
+
+    let closing = CancellationToken::new();
+    let sessions = TaskTracker::new();
+    let clients = clients::Clients::new(sender, clients_limit, closing.clone(), sessions.clone());
+    let accepting = tokio::spawn(clients.accept(listener));
+    tokio::select! {
+        _ = stop.recv() => {}
+        ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
+    }
+    let last = Instant::now() + longest + LAST_WRITES;
+    sleep(STILL_ACCEPTING).await;
+    accepting.abort();
+    let _ = accepting.await; // the listener is closed with it
+    closing.cancel();
+    sessions.close();
+    tokio::select! {
+        () = sessions.wait() => {}
+        () = sleep_until(last) => {}
+    }
+    Ok(())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,7 @@
 //! fields and settings silently; anything malformed ends the run with a [`WireError`].
 
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::io::{self, BufRead, Write};
 
@@ -13,6 +13,7 @@
 
 use crate::api::*;
 use crate::brain::Balancer;
+use crate::setup::{Setup, Stated, micros};
 
 /// Why the wire could not be followed, and where.
 #[derive(Debug)]
@@ -69,95 +70,7 @@
     #[serde(rename = "I")]
     instance: u64,
     nonce64: u64,
-    setup: Setup,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Setup {
-    classes: Vec<ClassSetup>,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    #[serde(default)]
-    guarantees: Guarantees,
-    #[serde(default)]
-    limits: Limits,
-    #[serde(default)]
-    over_share_worth: Option<f64>,
-    #[serde(default)]
-    quantum: f64,
-    #[serde(default)]
-    prices: Prices,
-    #[serde(default)]
-    zone: Option<String>,
-    #[serde(default)]
-    registry_mode: String,
-    #[serde(default)]
-    siblings: usize,
-    #[serde(default)]
-    tenants: Vec<TenantSetup>,
-    #[serde(default)]
-    weights: String,
-    #[serde(default)]
-    dcs: Vec<String>,
-    #[serde(default)]
-    skus: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct ClassSetup {
-    name: String,
-    aim: f64,
-    #[serde(default)]
-    worth: Option<f64>,
-    effect: String,
-    #[serde(default)]
-    dedup_scope: String,
-    #[serde(default)]
-    window: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct TenantSetup {
-    name: String,
-    #[serde(default)]
-    share: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct FamilyInfo {
-    mode: String,
-    origin_kind: Option<i64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Prices {
-    cross_zone: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Guarantees {
-    cold: f64,
-    cold_from: Option<f64>,
-    fall: f64,
-    must_ask_in: f64,
-    overload_factor: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Limits {
-    cancel: bool,
-    keepalive: Option<f64>,
-    max_attempts: Option<usize>,
-    max_retry_after: f64,
-    retry_after: bool,
-    second_copies: bool,
+    setup: Stated,
 }
 
 #[derive(Deserialize)]
@@ -325,12 +238,6 @@
     },
 }
 
-/// Milliseconds to microseconds; what no clock can hold is cut to what it can.
-fn micros(ms: f64) -> Micros {
-    // A cast from float saturates, and NaN becomes 0; the cap leaves room for sums.
-    (ms * 1000.0).round().min(1e15) as Micros
-}
-
 fn millis(us: Micros) -> f64 {
     us as f64 / 1000.0
 }
@@ -338,65 +245,13 @@
 /// One balancer and the names its settings gave to indices.
 struct Node {
     balancer: Balancer,
-    classes: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
-    zones: HashMap<String, u32>,
-    kinds: HashMap<String, u32>,
-    origin_kind: Option<String>,
+    setup: Setup,
 }
 
 impl Node {
     fn new(configure: Configure, now: Micros) -> Result<Node, String> {
-        let setup = configure.setup;
-        let mut classes = Vec::new();
-        for class in &setup.classes {
-            let scope = match class.dedup_scope.as_str() {
-                "zone" => Scope::Zone,
-                "cell" => Scope::Cell,
-                _ => Scope::All,
-            };
-            let effect = match class.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed { scope, window: micros(class.window) },
-                "unsafe" => Effect::Unsafe,
-                other => return Err(format!("CONFIGURE: unknown effect {other:?}")),
-            };
-            classes.push(Class { aim: micros(class.aim), worth: class.worth.unwrap_or(1.0), effect });
-        }
-        let defaults = Settings::default();
-        let (limits, rules) = (setup.limits, setup.guarantees);
-        let settings = Settings {
-            classes,
-            tenant_shares: setup.tenants.iter().map(|t| t.share).collect(),
-            over_share_worth: setup.over_share_worth.unwrap_or(defaults.over_share_worth),
-            mode: if setup.family_info.mode == "aside" { Mode::Aside } else { Mode::Through },
-            must_subscribe: setup.registry_mode == "subscribe",
-            must_ask_in: micros(rules.must_ask_in),
-            steady_weights: setup.weights != "live",
-            cancel: limits.cancel,
-            second_copies: limits.second_copies,
-            max_attempts: limits.max_attempts.unwrap_or(defaults.max_attempts),
-            max_retry_after: if limits.retry_after { micros(limits.max_retry_after) } else { 0 },
-            cold: micros(rules.cold),
-            cold_from: rules.cold_from.unwrap_or(defaults.cold_from),
-            overload_factor: rules.overload_factor.unwrap_or(defaults.overload_factor),
-            fall: micros(rules.fall),
-            quantum: micros(setup.quantum),
-            nodes: setup.siblings.max(1),
-            zone: setup.zone.and_then(|zone| setup.dcs.iter().position(|z| *z == zone)).map(|z| z as u32),
-            cross_zone_price: setup.prices.cross_zone,
-            keepalive: limits.keepalive.map_or(defaults.keepalive, micros),
-        };
-        let origin_kind = setup.family_info.origin_kind.and_then(|k| usize::try_from(k).ok());
-        let index = |names: Vec<String>| names.into_iter().zip(0..).collect::<HashMap<_, usize>>();
-        Ok(Node {
-            balancer: Balancer::new(settings, configure.nonce64, now),
-            classes: index(setup.classes.into_iter().map(|c| c.name).collect()),
-            tenants: index(setup.tenants.into_iter().map(|t| t.name).collect()),
-            zones: setup.dcs.into_iter().zip(0..).collect(),
-            origin_kind: origin_kind.and_then(|k| setup.skus.get(k).cloned()),
-            kinds: setup.skus.into_iter().zip(0..).collect(),
-        })
+        let setup = Setup::try_from(configure.setup).map_err(|error| format!("CONFIGURE: {error}"))?;
+        Ok(Node { balancer: Balancer::new(setup.settings.clone(), configure.nonce64, now), setup })
     }
 
     fn members(&mut self, endpoints: Endpoints) -> Result<Event, String> {
@@ -414,13 +269,13 @@
                 "removed" => MemberState::Removed,
                 other => return Err(format!("ENDPOINTS: unknown lifecycle {other:?}")),
             };
-            let origin = self.origin_kind.as_deref().is_some_and(|kind| kind == entry.kind);
+            let origin = self.setup.is_origin(&entry.kind);
             members.push(Member {
                 id: ServerId(entry.server),
                 state,
-                zone: number(&mut self.zones, entry.area),
+                zone: self.setup.zone(entry.area),
                 cell: entry.group,
-                kind: number(&mut self.kinds, entry.kind),
+                kind: self.setup.kind(entry.kind),
                 weight: entry.weight.unwrap_or(1.0),
                 started: entry.start_time.filter(|&t| t > 0.0).map(micros),
                 origin,
@@ -431,12 +286,12 @@
 
     fn request(&self, request: NewRequest) -> Event {
         let tenant = match request.user_group {
-            Some(NameOrNumber::Name(name)) => self.tenants.get(&name).copied(),
+            Some(NameOrNumber::Name(name)) => self.setup.tenant(&name),
             Some(NameOrNumber::Number(IgnoredAny)) | None => None,
         };
         Event::Request(Request {
             id: RequestId(request.rid),
-            class: self.classes.get(&*request.lane).copied(),
+            class: self.setup.class(&request.lane),
             tenant,
             key: request.name_key,
             budget: micros(request.budget),
@@ -445,15 +300,6 @@
     }
 }
 
-/// The index of a name; a new one for a name not met before.
-fn number(names: &mut HashMap<String, u32>, name: Cow<str>) -> u32 {
-    let next = names.len() as u32;
-    match names.get(&*name) {
-        Some(&index) => index,
-        None => *names.entry(name.into_owned()).or_insert(next),
-    }
-}
-
 fn finished(event: Finished) -> Result<Event, String> {
     let outcome = match &*event.code {
         "Ok" => Outcome::Ok,
