--- a/src/node/resp.rs
+++ b/src/node/resp.rs
@@ -40,6 +40,10 @@
             if rest.len() < size {
                 return Ok(None);
             }
+            // The codec doesn't look at how a bulk string ends.
+            if size > 0 && &rest[size - 2..size] != b"\r\n" {
+                return Err(Malformed);
+            }
             rest.advance(size);
         }
         nested = false;
@@ -100,6 +104,6 @@
 
     #[test]
     fn a_bulk_string_ends_with_a_line_break() {
-        assert!(!matches!(parse(b"$1\r\naXY"), Ok(Some(_))), "no line break at its end");
+        assert_eq!(parse(b"$1\r\naXY"), Err(Malformed));
     }
 }
