--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -37,6 +37,7 @@
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
+    eprintln!("listening on {}", listener.local_addr()?);
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
--- /dev/null
+++ b/tests/common/fakes.rs
@@ -0,0 +1,278 @@
+//! A node under test, and what stands round it: scripted servers and a client. All wait on events.
+#![allow(dead_code)] // each test file uses its own part
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Long enough for any machine; reached only by a test that fails.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a scripted server was asked, and the connection to answer on.
+pub struct Call {
+    /// A command's words; of HTTP the method, path, header lines and body.
+    pub words: Vec<String>,
+    /// The number of its connection, from 0.
+    pub connection: usize,
+    stream: TcpStream,
+}
+
+impl Call {
+    pub fn answer(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).unwrap();
+    }
+    pub fn value(mut self, value: &str) {
+        self.answer(format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()));
+    }
+    pub fn miss(mut self) {
+        self.answer("*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n");
+    }
+    pub fn http(mut self, status: &str, body: &str) {
+        self.answer(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+    pub fn close(self) {
+        self.stream.shutdown(Shutdown::Both).unwrap();
+    }
+}
+
+/// A scripted cache, origin or discovery.
+pub struct Fake {
+    pub addr: SocketAddr,
+    calls: Receiver<Call>,
+    closed: Receiver<usize>,
+}
+
+type ReadCall = fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>;
+
+impl Fake {
+    pub fn cache() -> Fake {
+        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), command)
+    }
+
+    pub fn http() -> Fake {
+        Fake::serving(TcpListener::bind("127.0.0.1:0").unwrap(), request)
+    }
+
+    /// A cache behind a listener of the test's own making.
+    pub fn behind(listener: TcpListener) -> Fake {
+        Fake::serving(listener, command)
+    }
+
+    fn serving(listener: TcpListener, read: ReadCall) -> Fake {
+        let addr = listener.local_addr().unwrap();
+        let ((to_calls, calls), (to_closed, closed)) = (channel(), channel());
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (stream, to_calls, to_closed) = (stream.unwrap(), to_calls.clone(), to_closed.clone());
+                thread::spawn(move || attend(stream, connection, read, &to_calls, &to_closed));
+            }
+        });
+        Fake { addr, calls, closed }
+    }
+
+    /// The next call.
+    pub fn call(&self) -> Call {
+        self.calls.recv_timeout(PATIENCE).expect("a call")
+    }
+    /// A call that has come already.
+    pub fn called(&self) -> Option<Call> {
+        self.calls.try_recv().ok()
+    }
+    /// Waits until the node has closed a connection; tells which.
+    pub fn closed(&self) -> usize {
+        self.closed.recv_timeout(PATIENCE).expect("a connection closed")
+    }
+}
+
+fn attend(
+    stream: TcpStream,
+    connection: usize,
+    read: ReadCall,
+    calls: &Sender<Call>,
+    closed: &Sender<usize>,
+) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(words) = read(&mut reader) {
+        let _ = calls.send(Call { words, connection, stream: stream.try_clone().unwrap() });
+    }
+    let _ = closed.send(connection);
+}
+
+fn line(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut text = String::new();
+    match reader.read_line(&mut text) {
+        Ok(n) if n > 0 => Some(text.trim_end().to_owned()),
+        _ => None,
+    }
+}
+
+fn bytes(reader: &mut BufReader<TcpStream>, n: usize) -> Option<String> {
+    let mut text = vec![0; n];
+    reader.read_exact(&mut text).ok()?;
+    Some(String::from_utf8_lossy(&text).into_owned())
+}
+
+fn command(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let n: usize = line(reader)?.strip_prefix('*')?.parse().ok()?;
+    (0..n)
+        .map(|_| {
+            let length: usize = line(reader)?.strip_prefix('$')?.parse().ok()?;
+            let word = bytes(reader, length)?;
+            line(reader).map(|_| word)
+        })
+        .collect()
+}
+
+fn request(reader: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+    let first = line(reader)?;
+    let mut words: Vec<String> = first.split(' ').take(2).map(String::from).collect();
+    let mut length = 0;
+    loop {
+        let header = line(reader)?;
+        if header.is_empty() {
+            break;
+        }
+        let (name, value) = header.split_once(": ")?;
+        let name = name.to_lowercase();
+        length = if name == "content-length" { value.parse().ok()? } else { length };
+        words.push(format!("{name}: {value}"));
+    }
+    words.push(bytes(reader, length)?);
+    Some(words)
+}
+
+/// A running node.
+pub struct Node {
+    child: Child,
+    addr: SocketAddr,
+}
+
+/// The settings of the tests: classes of each effect, an origin beside the caches.
+pub const SETTINGS: &str = r#"{"Classes":[
+    {"Name":"read","Aim":300.0,"HardLimit":2000.0,"Effect":"safe","Worth":3.0},
+    {"Name":"put","Aim":800.0,"HardLimit":2000.0,"Effect":"unsafe","Worth":9.0}],
+  "Dcs":["a"],"Skus":["m","origin"],"FamilyInfo":{"Mode":"aside","OriginKind":1},
+  "Guarantees":{"Cold":20000.0,"ColdFrom":0.2,"DrainGrace":500.0,"Fall":1000.0,"MustAskIn":10000.0,"OverloadFactor":3.0},
+  "Limits":{"Cancel":true,"ConnectTimeout":10000.0,"Keepalive":15000.0,"MaxAttempts":5,"MaxRetryAfter":2000.0,
+            "MaxStreams":1,"RetryAfter":true,"SecondCopies":true},
+  "Quantum":5.0,"RegistryMode":"automatic","Siblings":1,"Zone":"a"}"#;
+
+pub fn entry(id: &str, addr: SocketAddr, kind: &str, state: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"a","kind":"{kind}","cell":0,"state":"{state}","weight":1.0,"started_ms":0}}"#
+    )
+}
+
+/// A list of caches, in that order, and an origin.
+pub fn list(version: u64, caches: &[(&str, SocketAddr)], origin: SocketAddr) -> String {
+    let caches = caches.iter().map(|(id, addr)| entry(id, *addr, "m", "SERVING"));
+    let entries: Vec<String> = caches.chain([entry("o", origin, "origin", "SERVING")]).collect();
+    format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, entries.join(","))
+}
+
+/// The program, by way of a shell command that ends in `exec "$0"`.
+pub fn program(shell: &str) -> Command {
+    let mut command = Command::new("/bin/sh");
+    command.args(["-c", shell, env!("CARGO_BIN_EXE_lilacquay")]).env_clear().stderr(Stdio::piped());
+    command
+}
+
+impl Node {
+    pub fn start(known: &str, discovery: SocketAddr) -> Node {
+        Node::start_by("exec \"$0\"", known, discovery, 1024)
+    }
+
+    pub fn start_by(shell: &str, known: &str, discovery: SocketAddr, sockets: usize) -> Node {
+        let config = format!(
+            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+        );
+        let file = tempfile::NamedTempFile::new().unwrap();
+        std::fs::write(file.path(), config).unwrap();
+        let mut child = program(shell)
+            .env("EDGE_CONFIG", file.path())
+            .env("EDGE_LISTEN", "127.0.0.1:0")
+            .env("EDGE_DISCOVERY", discovery.to_string())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut first = String::new();
+        log.read_line(&mut first).unwrap();
+        let addr = first.trim().strip_prefix("listening on ").expect(&first).parse().unwrap();
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Node { child, addr }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Waits for its end; tells whether it was a success.
+    pub fn exit(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.reader.get_mut().write_all(bytes.as_ref()).unwrap();
+    }
+    pub fn send(&mut self, words: &[&str]) {
+        let bulk: String = words.iter().map(|w| format!("${}\r\n{w}\r\n", w.len())).collect();
+        self.write(format!("*{}\r\n{bulk}", words.len()));
+    }
+    pub fn get(&mut self, key: &str, facts: &str) {
+        self.send(&["CACHE.GET", key, "9b1f03aa5c7e2d41", facts]);
+    }
+    pub fn set(&mut self, key: &str, facts: &str, value: &str) {
+        self.send(&["CACHE.SET", key, "9b1f03aa5c7e2d41", facts, value]);
+    }
+    /// The next answer: a bulk string's text, or the line; nothing once the node has closed.
+    pub fn answer(&mut self) -> Option<String> {
+        let first = line(&mut self.reader)?;
+        let Some(length) = first.strip_prefix('$') else { return Some(first) };
+        let value = bytes(&mut self.reader, length.parse().unwrap())?;
+        line(&mut self.reader).map(|_| value)
+    }
+    /// An answer, if one has begun to come.
+    pub fn try_answer(&mut self) -> Option<String> {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let come = !self.reader.buffer().is_empty() || stream.peek(&mut [0]).is_ok();
+        self.reader.get_ref().set_nonblocking(false).unwrap();
+        if come { self.answer() } else { None }
+    }
+    /// Writes to a connection that the node may close meanwhile.
+    pub fn try_write(&mut self, bytes: &str) {
+        let _ = self.reader.get_mut().write_all(bytes.as_bytes());
+    }
+    pub fn ping(&mut self) {
+        self.send(&["PING"]);
+        assert_eq!(self.answer().as_deref(), Some("+PONG"));
+    }
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,359 @@
+//! The node over loopback sockets, between scripted servers and a client.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::time::{Duration, Instant};
+
+use fakes::*;
+
+/// A node with some caches, an origin, and a discovery that answers nothing unless the test does.
+struct Stage {
+    caches: Vec<Fake>,
+    origin: Fake,
+    discovery: Fake,
+    node: Node,
+}
+
+const NAMES: [&str; 3] = ["s-5be2a07c", "s-11d0c3f9", "s-a90e7b42"];
+
+fn named(caches: &[Fake]) -> Vec<(&'static str, std::net::SocketAddr)> {
+    NAMES.into_iter().zip(caches.iter().map(|c| c.addr)).collect()
+}
+
+fn stage(caches: usize) -> Stage {
+    let caches: Vec<Fake> = (0..caches).map(|_| Fake::cache()).collect();
+    let (origin, discovery) = (Fake::http(), Fake::http());
+    let node = Node::start(&list(41, &named(&caches), origin.addr), discovery.addr);
+    Stage { caches, origin, discovery, node }
+}
+
+// ---- requests ----
+
+#[test]
+fn a_read_goes_on_unchanged_but_for_its_time_and_the_value_comes_back() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.get("7f3a9c21e0b4d655", "c=read,t=acme,d=1480,size=7");
+    let call = s.caches[0].call();
+    assert_eq!(call.words[..3], ["CACHE.GET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41"]);
+    let facts: Vec<&str> = call.words[3].split(',').collect();
+    assert_eq!([facts[0], facts[1], facts[3]], ["c=read", "t=acme", "size=7"]);
+    let wait: u64 = facts[2].strip_prefix("d=").unwrap().parse().unwrap();
+    assert!((1..1480).contains(&wait), "{wait} ms");
+    call.value("bins on Thursday");
+    assert_eq!(client.answer().as_deref(), Some("bins on Thursday"));
+}
+
+#[test]
+fn a_miss_is_fetched_from_the_origin() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.get("7f3a 9c", "c=read,d=1480");
+    s.caches[0].call().miss();
+    let call = s.origin.call();
+    assert_eq!(call.words[..2], ["GET", "/7f3a%209c"]);
+    assert!(call.words.contains(&"x-correlation-id: 9b1f03aa5c7e2d41".into()), "{:?}", call.words);
+    assert!(call.words.contains(&"x-facts: c=read,d=1480".into()), "{:?}", call.words);
+    call.http("200 OK", "from the origin");
+    assert_eq!(client.answer().as_deref(), Some("from the origin"));
+}
+
+#[test]
+fn a_write_goes_to_the_origin_with_its_value() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.set("k", "c=put,d=1480,k=5c0f", "on");
+    let call = s.origin.call();
+    assert_eq!((call.words[0].as_str(), call.words.last().unwrap().as_str()), ("PUT", "on"));
+    call.http("200 OK", "receipt");
+    assert_eq!(client.answer().as_deref(), Some("receipt"));
+}
+
+#[test]
+fn a_write_that_may_have_run_is_failed_and_not_sent_again() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.set("k", "c=put,d=1480", "on");
+    s.origin.call().close();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert!(s.origin.called().is_none(), "sent again");
+}
+
+#[test]
+fn a_write_that_never_ran_is_refused() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.set("k", "c=put,d=1480", "on");
+    // Turned away each time.
+    for _ in 0..5 {
+        s.origin.call().answer("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+    assert!(client.answer().unwrap().starts_with("-BUSY"));
+}
+
+#[test]
+fn pipelined_reads_begin_at_once_and_are_answered_in_order() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.get("k1", "c=read,d=1900");
+    client.get("k2", "c=read,d=1900");
+    let (first, second) = (s.caches[0].call(), s.caches[0].call());
+    let (first, second) = if first.words[1] == "k1" { (first, second) } else { (second, first) };
+    second.value("two");
+    first.value("one");
+    assert_eq!([client.answer().unwrap(), client.answer().unwrap()], ["one", "two"]);
+}
+
+#[test]
+fn a_client_that_leaves_calls_its_attempts_off() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.get("k", "c=read,d=60000");
+    let call = s.caches[0].call();
+    drop(client);
+    assert_eq!(s.caches[0].closed(), call.connection);
+}
+
+#[test]
+fn a_read_that_no_cache_answers_is_answered_before_its_deadline() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    let sent = Instant::now();
+    client.get("k", "c=read,d=1500");
+    let _silent = s.caches[0].call();
+    assert!(client.answer().unwrap().starts_with("-BUSY"));
+    assert!(sent.elapsed() < Duration::from_millis(1500), "{:?}", sent.elapsed());
+}
+
+// ---- connections to servers ----
+
+#[test]
+fn a_connection_is_used_again_and_a_closed_one_is_not() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    // Of an effect that is never repeated: a reset would show as a failure.
+    for n in 0..3 {
+        client.get("k", "c=put,d=1900");
+        let mut call = s.caches[0].call();
+        assert_eq!(call.connection, usize::from(n == 2));
+        call.answer("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n");
+        if n == 1 {
+            call.close();
+            s.caches[0].closed();
+        }
+        assert_eq!(client.answer().as_deref(), Some("v"), "read {n}");
+    }
+}
+
+#[test]
+fn a_connection_that_the_origin_closed_is_not_used_again() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    for n in 0..3 {
+        client.set("k", "c=put,d=1900", "on");
+        let mut call = s.origin.call();
+        assert_eq!(call.connection, usize::from(n == 2));
+        call.answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv");
+        if n == 1 {
+            call.close();
+            s.origin.closed();
+        }
+        assert_eq!(client.answer().as_deref(), Some("v"), "write {n}");
+    }
+}
+
+#[test]
+fn garbage_from_a_server_ends_the_attempt_and_not_the_node() {
+    let mut s = stage(1);
+    let mut client = s.node.client();
+    for garbage in ["hello\r\n", "*1\r\n*1\r\n*1\r\n", "$99999999999999999999\r\n", ":1\r\n", "*1\r\n:1\r\n"]
+    {
+        client.get("k", "c=read,d=1900");
+        s.caches[0].call().answer(garbage);
+        // It may have run; a read is safe to repeat, and the cache now behaves.
+        let mut answer = None;
+        while answer.is_none() {
+            match s.caches[0].called() {
+                Some(call) => call.value("v"),
+                None => answer = client.try_answer(),
+            }
+        }
+        let answer = answer.unwrap();
+        assert!(answer == "v" || answer.starts_with("-BUSY"), "{answer}");
+    }
+    client.set("k", "c=put,d=1900", "on");
+    s.origin.call().answer("no HTTP at all\r\n\r\n");
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert!(s.node.runs());
+}
+
+#[test]
+fn nodes_rank_alike_whatever_the_order_of_the_list() {
+    let s = stage(3);
+    let mut turned = named(&s.caches);
+    turned.reverse();
+    let other = Node::start(&list(41, &turned, s.origin.addr), s.discovery.addr);
+    for key in ["k1", "k2", "k3", "k4", "k5", "k6", "k7", "k8"] {
+        let cache_asked = |node: &Node| {
+            let mut client = node.client();
+            client.get(key, "c=read,d=60000");
+            loop {
+                if let Some(n) = s.caches.iter().position(|c| c.called().is_some()) {
+                    return n;
+                }
+            }
+        };
+        assert_eq!(cache_asked(&s.node), cache_asked(&other), "{key}");
+    }
+}
+
+// ---- discovery ----
+
+#[test]
+fn a_bad_list_is_ignored_and_a_good_one_followed() {
+    let s = stage(1);
+    let call = s.discovery.call();
+    assert_eq!(call.words[..2], ["GET", "/discovery/hosts"]);
+    call.http("200 OK", "{\"version\":42,\"full\":true,\"servers\":[{\"id\":7}]}");
+    let again = s.discovery.call();
+    assert_eq!(again.words[1], "/discovery/hosts", "the whole list is still wanted");
+    let mut client = s.node.client();
+    client.get("k", "c=read,d=1900");
+    s.caches[0].call().value("v"); // the list from before still holds
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    let new = Fake::cache();
+    again.http("200 OK", &list(43, &[("s-new", new.addr)], s.origin.addr));
+    assert!(s.discovery.call().words[1].starts_with("/discovery/hosts?after=43&wait_ms="));
+    client.get("k", "c=read,d=1900");
+    new.call().value("w");
+    assert_eq!(client.answer().as_deref(), Some("w"));
+}
+
+#[test]
+fn a_server_drained_while_its_connection_comes_up_is_sent_nothing() {
+    use socket2::{Domain, Socket, Type};
+    // A full backlog holds the node's connection back until the test accepts the one before it.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let addr = listener.local_addr().unwrap();
+    let before = std::net::TcpStream::connect(addr).unwrap();
+    let (origin, discovery) = (Fake::http(), Fake::http());
+    let node = Node::start(&list(41, &[(NAMES[0], addr)], origin.addr), discovery.addr);
+    let call = discovery.call();
+    let mut client = node.client();
+    client.get("k", "c=read,d=60000");
+    // Once the next call has come, the word of the drain has been read.
+    call.http(
+        "200 OK",
+        &format!(r#"{{"version":42,"full":false,"servers":[{}]}}"#, entry(NAMES[0], addr, "m", "DRAINING")),
+    );
+    let _watch = discovery.call();
+    let cache = Fake::behind(listener);
+    drop(before);
+    assert_eq!(cache.closed(), 0);
+    assert_eq!(cache.closed(), 1, "the node's own connection");
+    assert!(cache.called().is_none(), "sent to a server that drains");
+    origin.call().http("200 OK", "v"); // the read goes on elsewhere
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+// ---- bad input ----
+
+#[test]
+fn a_whole_command_that_is_no_good_gets_an_error_and_the_connection_lives() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    let long = "x".repeat(70_000);
+    let longer = "x".repeat(250_000);
+    let cases: [&[&str]; 9] = [
+        &["FLUSHALL"],
+        &["CACHE.GET", "k"],
+        &["CACHE.GET", "k", "i", "c=read,d=9", "v"],
+        &["CACHE.GET", "k", "i", "c=read,d=soon"],
+        &["CACHE.GET", "k", "i", "c=read,d=-1"],
+        &["CACHE.GET", "k", "i", "c=read"],
+        &["CACHE.GET", "k", "i\nX: 1", "c=read,d=9"],
+        &["CACHE.SET", "k", "i", "c=put,d=9", &long],
+        &["CACHE.SET", "k", "i", "c=put,d=9", &longer],
+    ];
+    for words in cases {
+        client.send(words);
+        assert!(client.answer().unwrap().starts_with("-ERR"), "{:?}", words[0]);
+        client.ping();
+    }
+}
+
+#[test]
+fn a_malformed_frame_gets_an_error_and_a_close() {
+    let mut s = stage(1);
+    let nested = "*1\r\n".repeat(60_000) + "+x\r\n";
+    for bytes in ["GET k\r\n", "*1\r\n:5\r\n", "*-1\r\n", "$3\r\nGET\r\n", "*1\r\n$999999999\r\n", &nested] {
+        let mut client = s.node.client();
+        client.try_write(bytes);
+        assert!(client.answer().is_none_or(|answer| answer.starts_with("-ERR")));
+        assert_eq!(client.answer(), None);
+    }
+    assert!(s.node.runs());
+}
+
+#[test]
+fn unknown_classes_and_tenants_are_served() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    client.get("k", "c=nobody,t=nothing,d=1900");
+    s.caches[0].call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+#[test]
+fn what_is_missing_in_the_configuration_is_told_in_a_line() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), "{\"seed\":\"1\",\"settings\":{\"Classes\":7}}").unwrap();
+    for config in [None, Some("/nonexistent".as_ref()), Some(file.path())] {
+        let mut command = program("exec \"$0\"");
+        command.env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", "127.0.0.1:1");
+        if let Some(path) = config {
+            command.env("EDGE_CONFIG", path);
+        }
+        let output = command.output().unwrap();
+        let told = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success());
+        assert_eq!(told.lines().count(), 1, "{told}");
+    }
+}
+
+// ---- limits and the end ----
+
+#[test]
+fn running_out_of_descriptors_is_survived() {
+    let s = stage(1);
+    let known = list(41, &named(&s.caches), s.origin.addr);
+    // The limits stated are above what the system grants.
+    let mut node = Node::start_by("ulimit -n 40; exec \"$0\"", &known, s.discovery.addr, 1024);
+    let mut idle: Vec<Client> = (0..100).map(|_| node.client()).collect();
+    let mut client = node.client();
+    client.get("k", "c=read,d=15000");
+    // Room is made by closing those that idle.
+    s.caches[0].call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    assert_eq!(idle[0].answer(), None, "idle longest, closed first");
+    assert!(node.runs());
+}
+
+#[test]
+fn told_to_stop_it_answers_what_it_has_taken_and_ends_well() {
+    let mut s = stage(1);
+    let (mut idle, mut busy) = (s.node.client(), s.node.client());
+    idle.ping();
+    busy.get("k", "c=read,d=1900");
+    let call = s.caches[0].call();
+    s.node.terminate();
+    s.node.client().ping(); // one that was on its way
+    assert_eq!(idle.answer(), None, "closed between requests");
+    call.value("v");
+    assert_eq!(busy.answer().as_deref(), Some("v"));
+    assert!(s.node.exit());
+}
