Bound what clients can hold: connections, and commands begun together

The test for the connections fails without the wait in accept; the bound on pipelining has no test that shows memory.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::time::Duration;
 use std::{fmt, io, str};
 
@@ -25,10 +25,15 @@
 
 /// The longest value.
 pub const VALUE_LIMIT: usize = 64 << 10;
+/// Key, id and facts together are no longer than this.
+const ARGUMENTS: usize = 2 << 10;
 /// The longest command that is read to its end, if only to say that it is too long.
-const FRAME_LIMIT: usize = 4 * VALUE_LIMIT;
-/// Commands of one connection that are begun while earlier ones are unanswered.
+const FRAME_LIMIT: usize = 2 * VALUE_LIMIT;
+/// Commands of one connection that are begun while earlier ones are unanswered ...
 const PIPELINED: usize = 64;
+/// ... and of all connections together. Beyond that each connection has one at a time, so that no
+/// number of long values, on their way in or out, outgrows the memory of a node.
+const PIPELINED_IN_ALL: usize = 512;
 /// A client that takes no byte of its answers for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
 /// After an accept that failed, for want of descriptors say.
@@ -119,9 +124,6 @@
     }
 }
 
-/// Key, id and facts together are no longer than this.
-const ARGUMENTS: usize = 2 << 10;
-
 /// Why a whole command can't be carried out.
 #[derive(Debug)]
 enum CommandError {
@@ -175,6 +177,8 @@
     /// Wakes the session that has been idle for longest, to make room.
     room: Arc<Notify>,
     next_id: Arc<AtomicU32>,
+    /// Answers owed on all connections.
+    owed: Arc<AtomicUsize>,
     /// Set when connections are to be closed between requests.
     closing: CancellationToken,
     sessions: TaskTracker,
@@ -187,17 +191,21 @@
         closing: CancellationToken,
         sessions: TaskTracker,
     ) -> Self {
-        Clients { to, limit, room: Arc::default(), next_id: Arc::default(), closing, sessions }
+        let (room, next_id, owed) = Default::default();
+        Clients { to, limit, room, next_id, owed, closing, sessions }
     }
 
     /// Takes connections until it is aborted.
     pub async fn accept(self, listener: TcpListener) {
         loop {
+            // Guards against: clients that leave no descriptors for the servers. Those beyond the limit
+            // wait to be accepted until an idle connection has made room.
+            while self.sessions.len() >= self.limit {
+                self.room.notify_one();
+                sleep(PAUSE).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    if self.sessions.len() >= self.limit {
-                        self.room.notify_one();
-                    }
                     let session = Session::new(self.clone());
                     self.sessions.spawn(session.run(stream));
                 }
@@ -236,6 +244,7 @@
     async fn run(mut self, mut stream: TcpStream) {
         // Whether it ended by a break or between requests is all one here.
         let _ = self.serve(&mut stream).await;
+        self.shared.owed.fetch_sub(self.owed.len(), Ordering::Relaxed);
         for owed in self.owed {
             if let Owed::Waiting(id, _) = owed {
                 let _ = self.shared.to.send(Message::Gone(id));
@@ -254,13 +263,14 @@
             }
             tokio::select! {
                 biased;
-                read = reader.read_buf(&mut self.buffer), if !self.broken && self.owed.len() < PIPELINED => {
+                read = reader.read_buf(&mut self.buffer), if self.may_begin() => {
                     if read? == 0 {
                         return Ok(());
                     }
                     self.read_at = Instant::now();
                 }
                 answer = next(&mut self.owed), if !self.owed.is_empty() => {
+                    self.shared.owed.fetch_sub(1, Ordering::Relaxed);
                     let mut text = BytesMut::new();
                     encode(&mut text, &answer);
                     timeout(STUCK, writer.write_all(&text)).await??;
@@ -272,9 +282,16 @@
         }
     }
 
+    /// Whether another command may be begun.
+    fn may_begin(&self) -> bool {
+        let room =
+            || self.owed.len() < PIPELINED && self.shared.owed.load(Ordering::Relaxed) < PIPELINED_IN_ALL;
+        !self.broken && (self.owed.is_empty() || room())
+    }
+
     /// Begins the commands that have come whole.
     fn begin(&mut self) {
-        while !self.broken && self.owed.len() < PIPELINED {
+        while self.may_begin() {
             let owed = match next_frame(&mut self.buffer, FRAME_LIMIT).map(|f| f.map(arguments)) {
                 Ok(None) => return,
                 Ok(Some(Ok(parts))) => self.command(&parts),
@@ -284,6 +301,7 @@
                 }
             };
             self.owed.push_back(owed);
+            self.shared.owed.fetch_add(1, Ordering::Relaxed);
         }
     }
 
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -19,7 +19,7 @@
 use super::driver::Message;
 
 /// How long a watch waits for news, and how much longer the answer may take.
-const WAIT: Duration = Duration::from_secs(10);
+const WAIT: Duration = Duration::from_secs(5);
 const ANSWER: Duration = Duration::from_secs(2);
 /// A failed call is repeated after this time: a watch goes on only if its next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -23,6 +23,8 @@
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
 const ON_THE_WAY: Micros = 5_000;
+/// The timers' queue panics at times of some years, which odd settings could ask for.
+const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -199,7 +201,7 @@
             Action::Refuse { id, retry_after } => self.answer(id, Answer::Busy(retry_after)),
             Action::Fail(id) => self.answer(id, Answer::Failed),
             Action::SetTimer { after, token } => {
-                self.timers.insert(Due::Module(token), Duration::from_micros(after));
+                self.timers.insert(Due::Module(token), Duration::from_micros(after).min(LONGEST_TIMER));
             }
             Action::Subscribe => self.subscribe.notify_one(),
             Action::Disconnect(server) => self.directory.disconnect(server),
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -1,7 +1,7 @@
 //! A node under test, and what stands round it: scripted servers and a client. All wait on events.
 #![allow(dead_code)] // each test file uses its own part
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -105,6 +105,7 @@
     let mut text = String::new();
     match reader.read_line(&mut text) {
         Ok(n) if n > 0 => Some(text.trim_end().to_owned()),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => panic!("nothing came"),
         _ => None,
     }
 }
