Ask for a list that must be subscribed to only when the module does

The permit of the first subscription was left over and repeated the first failed call at once, whatever pause the module had chosen.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -67,7 +67,7 @@
 /// Follows the list.
 pub struct Watch {
     pub address: SocketAddr,
-    /// Where the list must be subscribed to: told when the module asks for it again after a failure.
+    /// Where the list must be subscribed to: told when the module asks for it, at first and after a failure.
     pub asked: Option<Arc<Notify>>,
     pub after: u64,
     pub to: UnboundedSender<Message>,
@@ -79,24 +79,26 @@
     /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list.
     pub async fn run(mut self) {
         let mut whole = true; // what is known from before may be old
-        let mut connection = None;
+        let (mut connection, mut following) = (None, false);
         loop {
+            if let (false, Some(asked)) = (following, &self.asked) {
+                asked.notified().await;
+            }
             match self.call(&mut connection, whole).await {
                 Ok(list) => {
-                    (whole, self.after) = (false, list.version);
+                    (whole, following, self.after) = (false, true, list.version);
                     if self.to.send(Message::List(list)).is_err() {
                         return;
                     }
                 }
                 Err(error) => {
-                    connection = None;
+                    (connection, following) = (None, false);
                     eprintln!("discovery: {error}");
                     if self.to.send(Message::ListFailed).is_err() {
                         return;
                     }
-                    match &self.asked {
-                        Some(asked) => asked.notified().await,
-                        None => sleep(PAUSE).await,
+                    if self.asked.is_none() {
+                        sleep(PAUSE).await;
                     }
                 }
             }
