See that a server that has just started is cold

Cause: milliseconds were cut at 1e15 microseconds, which is the year 2001; the simulator's clock never comes near it, Unix time lies above. Every started_ms was read as long ago, and no cache was ever cold on real sockets. Found by a probe over loopback: a cache listed as started this moment was sent a read by a node that had none of its allowance. Ruled out: the node's clock (Unix time) and the list (read as it stands).

--- a/src/setup.rs
+++ b/src/setup.rs
@@ -226,6 +226,7 @@
 
 /// Milliseconds to microseconds; what no clock can hold is cut to what it can.
 pub fn micros(ms: f64) -> Micros {
-    // A cast from float saturates, and NaN becomes 0; the cap leaves room for sums.
-    (ms * 1000.0).round().min(1e15) as Micros
+    // A cast from float saturates, and NaN becomes 0; the cap leaves room for sums. It lies well above
+    // Unix time: below it, a server that has just started would count as warm since long ago.
+    (ms * 1000.0).round().min(1e17) as Micros
 }
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -181,14 +181,30 @@
     command
 }
 
+/// How a node is started.
+pub struct Start<'a> {
+    pub known: &'a str,
+    pub discovery: SocketAddr,
+    pub sockets: usize,
+    pub settings: &'a str,
+    pub shell: &'a str,
+}
+
 impl Node {
     pub fn start(known: &str, discovery: SocketAddr) -> Node {
-        Node::start_by("exec \"$0\"", known, discovery, 1024)
+        Start::new(known, discovery).node()
     }
+}
 
-    pub fn start_by(shell: &str, known: &str, discovery: SocketAddr, sockets: usize) -> Node {
+impl<'a> Start<'a> {
+    pub fn new(known: &'a str, discovery: SocketAddr) -> Self {
+        Start { known, discovery, sockets: 1024, settings: SETTINGS, shell: "exec \"$0\"" }
+    }
+
+    pub fn node(self) -> Node {
+        let Start { known, discovery, sockets, settings, shell } = self;
         let config = format!(
-            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), config).unwrap();
@@ -205,7 +221,9 @@
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
         Node { child, addr }
     }
+}
 
+impl Node {
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.addr).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -260,6 +260,41 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
 }
 
+#[test]
+fn a_list_that_must_be_subscribed_to_is_asked_for_again_when_the_module_says_so() {
+    let s = stage(1);
+    let (known, discovery) = (list(41, &named(&s.caches), s.origin.addr), Fake::http());
+    let settings = SETTINGS.replace("automatic", "subscribe");
+    let _node = Start { settings: &settings, ..Start::new(&known, discovery.addr) }.node();
+    discovery.call().http("503 Service Unavailable", "");
+    let told = Instant::now();
+    discovery.call().http("200 OK", &known);
+    // It waits at least half of twice a 32nd of MustAskIn; by itself the node would wait 100 ms.
+    assert!(told.elapsed() >= Duration::from_millis(300), "{:?}", told.elapsed());
+    assert!(discovery.call().words[1].contains("after=41"));
+}
+
+#[test]
+fn a_server_known_to_have_just_started_is_cold_and_one_of_a_minute_ago_is_not() {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    for (age, cold) in [(Duration::ZERO, true), (Duration::from_secs(60), false)] {
+        let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+        let started = format!("\"started_ms\":{}", (unix - age).as_millis());
+        let known =
+            list(41, &[(NAMES[0], cache.addr)], origin.addr).replacen("\"started_ms\":0", &started, 1);
+        let node = Node::start(&known, discovery.addr);
+        let mut client = node.client();
+        client.get("k", "c=read,d=1900");
+        // A node that has just started owes a cold cache next to nothing: it spares it the read.
+        if cold {
+            origin.call().http("200 OK", "v");
+        } else {
+            cache.call().value("v");
+        }
+        assert_eq!(client.answer().as_deref(), Some("v"));
+    }
+}
+
 // ---- bad input ----
 
 #[test]
@@ -332,7 +367,7 @@
     let s = stage(1);
     let known = list(41, &named(&s.caches), s.origin.addr);
     // The limits stated are above what the system grants.
-    let node = Node::start_by("ulimit -n 40; exec \"$0\"", &known, s.discovery.addr, 1024);
+    let node = Start { shell: "ulimit -n 40; exec \"$0\"", ..Start::new(&known, s.discovery.addr) }.node();
     let mut idle: Vec<Client> = (0..100).map(|_| node.client()).collect();
     let mut client = node.client();
     client.get("k", "c=read,d=15000");
@@ -346,7 +381,7 @@
 fn clients_beyond_the_limit_take_the_place_of_idle_ones() {
     let s = stage(1);
     let known = list(41, &named(&s.caches), s.origin.addr);
-    let node = Node::start_by("exec \"$0\"", &known, s.discovery.addr, 60);
+    let node = Start { sockets: 60, ..Start::new(&known, s.discovery.addr) }.node();
     let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
     clients[39].get("k", "c=read,d=15000");
     s.caches[0].call().value("v");
