Take nothing more from a client that is still owed, once told to stop

Found by reading: a client that pipelines without a pause kept its session from ever being between requests, up to the last moment, when the node ended with commands unanswered. The test fails without the mend (the second command is begun).

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -259,12 +259,16 @@
         let (closing, room) = (self.shared.closing.clone(), self.shared.room.clone());
         loop {
             let idle = self.owed.is_empty() && self.buffer.is_empty();
-            if self.broken && self.owed.is_empty() {
+            let stopping = closing.is_cancelled();
+            if self.broken && self.owed.is_empty() || stopping && idle {
                 return writer.shutdown().await;
             }
+            // Guards against: a client that always has a command under way and so keeps a node that is to
+            // stop until it is killed with something unanswered. What is not read, the client sends again.
+            let reading = self.may_begin() && (!stopping || self.owed.is_empty());
             tokio::select! {
                 biased;
-                read = reader.read_buf(&mut self.buffer), if self.may_begin() => {
+                read = reader.read_buf(&mut self.buffer), if reading => {
                     if read? == 0 {
                         return Ok(());
                     }
@@ -276,7 +280,7 @@
                     encode(&mut text, &answer);
                     timeout(STUCK, writer.write_all(&text)).await??;
                 }
-                () = closing.cancelled(), if idle => return writer.shutdown().await,
+                () = closing.cancelled(), if !stopping => {}
                 () = room.notified(), if idle => return writer.shutdown().await,
             }
             self.begin();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -403,3 +403,20 @@
     assert_eq!(busy.answer().as_deref(), Some("v"));
     assert!(s.node.exit());
 }
+
+#[test]
+fn told_to_stop_it_takes_nothing_more_from_a_client_that_it_still_owes() {
+    let mut s = stage(1);
+    let (mut idle, mut busy) = (s.node.client(), s.node.client());
+    idle.ping();
+    busy.get("k1", "c=read,d=10000");
+    let call = s.caches[0].call();
+    s.node.terminate();
+    assert_eq!(idle.answer(), None, "from now on connections close between requests");
+    busy.get("k2", "c=read,d=10000");
+    call.value("v");
+    assert_eq!(busy.answer().as_deref(), Some("v"));
+    assert_eq!(busy.answer(), None, "closed, and the second command not read");
+    assert!(s.node.exit());
+    assert!(s.caches[0].called().is_none());
+}
