Follow discovery to a new address on SIGHUP, and believe a silent or half-bad one less

At fault: node/mod.rs registered SIGTERM alone, so SIGHUP kept its default. Read beside it in node/discovery.rs: a silent watch was given up after WAIT + ANSWER = 7 s, where news count as told after 6 s (4 s after a reload), and one unreadable entry voided the list. Now: SIGHUP is taken from before listening to the end; the file's discovery goes before the environment; the call that is out is broken off and the new address asked for the whole list, the old one holding until it answers. A bad file is one log line. Silence shows after 3 s. Bad entries are skipped; a whole list of nothing else is a failed call.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -70,12 +70,18 @@
     sockets: Option<usize>,
 }
 
+impl File {
+    fn read() -> Result<File, ConfigError> {
+        let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
+        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
+        serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path, e))
+    }
+}
+
 impl Config {
     /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
-        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path, e))?;
+        let file = File::read()?;
         let sockets = file.limits.sockets.unwrap_or(SOCKETS);
         if sockets < 2 * RESERVED {
             return Err(ConfigError::Sockets(sockets));
@@ -90,6 +96,15 @@
         })
     }
 
+    /// Reads the file anew, for what may change while the node runs: where discovery is. What the file
+    /// says now goes before the environment, which is as old as the process.
+    pub fn discovery_anew() -> Result<SocketAddr, ConfigError> {
+        match File::read()?.discovery {
+            Some(text) => parse("discovery", text),
+            None => address("EDGE_DISCOVERY", None),
+        }
+    }
+
     /// Most connections from clients, and to servers.
     pub fn connection_limits(&self) -> (usize, usize) {
         let room = self.sockets - RESERVED;
@@ -106,6 +121,9 @@
 }
 
 fn address(name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
-    let text = variable(name)?.or(in_file).ok_or(ConfigError::Missing(name))?;
+    parse(name, variable(name)?.or(in_file).ok_or(ConfigError::Missing(name))?)
+}
+
+fn parse(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::Address(name, text))
 }
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -11,17 +11,21 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 use super::driver::Message;
 use super::log;
 
-/// How long a watch waits for news, and how much longer the answer may take.
-const WAIT: Duration = Duration::from_secs(5);
-const ANSWER: Duration = Duration::from_secs(2);
+/// How long a watch waits for news, and how much longer the answer may take. Guards against: a discovery
+/// that has fallen silent and is believed to have no news for long; what it has to tell counts as told
+/// after 6 s, and 4 s after a reload.
+const WAIT: Duration = Duration::from_secs(2);
+const ANSWER: Duration = Duration::from_secs(1);
 /// A failed call is repeated after this time: a watch goes on only if its next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Larger lists are not believed.
@@ -29,13 +33,43 @@
 
 /// An answer of discovery.
 #[derive(Deserialize, Default, Debug)]
+#[serde(from = "Told")]
 pub struct List {
-    #[serde(default)]
     pub version: u64,
-    #[serde(default)]
     pub full: bool,
-    #[serde(default)]
     pub servers: Vec<Entry>,
+    /// Entries that can't be read.
+    pub skipped: usize,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    #[serde(default)]
+    version: u64,
+    #[serde(default)]
+    full: bool,
+    #[serde(default)]
+    servers: Vec<Listed>,
+}
+
+/// Guards against: one entry that can't be read, which would void all the others.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Listed {
+    Entry(Entry),
+    Unreadable(IgnoredAny),
+}
+
+impl From<Told> for List {
+    fn from(told: Told) -> List {
+        let listed = told.servers.len();
+        let readable = told.servers.into_iter().filter_map(|one| match one {
+            Listed::Entry(entry) => Some(entry),
+            Listed::Unreadable(_) => None,
+        });
+        let servers: Vec<Entry> = readable.collect();
+        List { version: told.version, full: told.full, skipped: listed - servers.len(), servers }
+    }
 }
 
 /// A server in the list.
@@ -67,77 +101,110 @@
 
 /// Follows the list.
 pub struct Watch {
-    pub address: SocketAddr,
     /// Where the list must be subscribed to: told when the module asks for it, at first and after a failure.
-    pub asked: Option<Arc<Notify>>,
-    pub after: u64,
-    pub to: UnboundedSender<Message>,
+    asked: Option<Arc<Notify>>,
+    after: u64,
+    to: UnboundedSender<Message>,
+    connection: Option<Client>,
+    /// Whether the whole list is wanted: what is known from before may be old.
+    whole: bool,
+    /// Whether the next call must wait until it is due.
+    held: bool,
+    /// Whether entries that can't be read have been spoken of.
+    complained: bool,
+}
+
+/// A connection to discovery, closed when it is dropped.
+struct Client {
+    sender: SendRequest<Empty<Bytes>>,
+    _task: AbortOnDropHandle<()>,
 }
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 impl Watch {
-    /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list.
-    pub async fn run(mut self) {
-        let mut whole = true; // what is known from before may be old
-        let (mut connection, mut following) = (None, false);
+    pub fn new(asked: Option<Arc<Notify>>, after: u64, to: UnboundedSender<Message>) -> Self {
+        let held = asked.is_some();
+        Watch { asked, after, to, connection: None, whole: true, held, complained: false }
+    }
+
+    /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list. A
+    /// new address breaks off what is out at the old one, and is asked for the whole list at once.
+    pub async fn run(mut self, mut address: watch::Receiver<SocketAddr>) {
         loop {
-            if let (false, Some(asked)) = (following, &self.asked) {
-                asked.notified().await;
-            }
-            match self.call(&mut connection, whole).await {
-                Ok(list) => {
-                    (whole, following, self.after) = (false, true, list.version);
-                    if self.to.send(Message::List(list)).is_err() {
-                        return;
-                    }
-                }
-                Err(error) => {
-                    (connection, following) = (None, false);
-                    log(format_args!("discovery: {error}"));
-                    if self.to.send(Message::ListFailed).is_err() {
-                        return;
-                    }
-                    if self.asked.is_none() {
-                        sleep(PAUSE).await;
-                    }
+            let at = *address.borrow_and_update();
+            let told = tokio::select! {
+                biased;
+                Ok(()) = address.changed() => {
+                    (self.connection, self.whole, self.held) = (None, true, false);
+                    continue;
                 }
+                told = self.call(at) => told,
+            };
+            if self.to.send(told).is_err() {
+                return;
             }
         }
     }
 
-    async fn call(&self, open: &mut Option<SendRequest<Empty<Bytes>>>, whole: bool) -> Result<List, Error> {
-        let path = match whole {
+    /// The next call, when it is due. Cancelled, it leaves nothing open.
+    async fn call(&mut self, at: SocketAddr) -> Message {
+        match &self.asked {
+            Some(asked) if self.held => asked.notified().await,
+            None if self.held => sleep(PAUSE).await,
+            _ => {}
+        }
+        let path = match self.whole {
             true => "/discovery/hosts".to_owned(),
             false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, WAIT.as_millis()),
         };
-        let limit = if whole { ANSWER } else { WAIT + ANSWER };
-        timeout(limit, self.fetch(open, &path)).await?
+        let limit = if self.whole { ANSWER } else { WAIT + ANSWER };
+        let told = timeout(limit, self.fetch(at, &path)).await.unwrap_or_else(|late| Err(late.into()));
+        self.held = told.is_err();
+        match told {
+            Ok(list) => {
+                (self.whole, self.after) = (false, list.version);
+                if list.skipped > 0 && !self.complained {
+                    log(format_args!("discovery: {} entries can't be read and are skipped", list.skipped));
+                    self.complained = true;
+                }
+                Message::List(list)
+            }
+            Err(error) => {
+                log(format_args!("discovery: {error}"));
+                Message::ListFailed
+            }
+        }
     }
 
-    async fn fetch(&self, open: &mut Option<SendRequest<Empty<Bytes>>>, path: &str) -> Result<List, Error> {
-        let mut sender = match open.take().filter(|sender| !sender.is_closed()) {
-            Some(sender) => sender,
-            None => connect(self.address).await?,
+    async fn fetch(&mut self, at: SocketAddr, path: &str) -> Result<List, Error> {
+        let mut client = match self.connection.take().filter(|client| !client.sender.is_closed()) {
+            Some(client) => client,
+            None => connect(at).await?,
         };
-        sender.ready().await?;
-        let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::<Bytes>::new())?;
-        let answer = sender.send_request(request).await?;
+        client.sender.ready().await?;
+        let request = Request::get(path).header(HOST, at.to_string()).body(Empty::<Bytes>::new())?;
+        let answer = client.sender.send_request(request).await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), LARGEST).collect().await?.to_bytes();
         if status != StatusCode::OK {
             return Err(format!("answered {status}").into());
         }
-        let list = serde_json::from_slice(&body)?;
-        *open = Some(sender);
+        let list: List = serde_json::from_slice(&body)?;
+        if list.full && list.servers.is_empty() && list.skipped > 0 {
+            return Err("no entry of the list can be read".into());
+        }
+        self.connection = Some(client);
         Ok(list)
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, Error> {
-    let stream = TcpStream::connect(address).await?;
+async fn connect(at: SocketAddr) -> Result<Client, Error> {
+    let stream = TcpStream::connect(at).await?;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(connection);
-    Ok(sender)
+    let task = tokio::spawn(async move {
+        let _ = connection.await; // a break shows in the call that is out
+    });
+    Ok(Client { sender, _task: AbortOnDropHandle::new(task) })
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,12 +12,13 @@
 
 use std::fmt;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -35,6 +36,8 @@
 /// Serves until SIGTERM, then answers what was taken.
 pub async fn run(config: Config) -> io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
+    // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
+    let reload = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
@@ -42,16 +45,14 @@
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (sender, inbox) = mpsc::unbounded_channel();
     let subscribe = Arc::new(Notify::new());
-    let watching = discovery::Watch {
-        address: config.discovery,
-        asked: config.setup.settings.must_subscribe.then(|| subscribe.clone()),
-        after: config.known.version,
-        to: sender.clone(),
-    };
+    let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
+    let watching = discovery::Watch::new(asked, config.known.version, sender.clone());
+    let (new_address, address) = watch::channel(config.discovery);
     let (clients_limit, servers_limit) = config.connection_limits();
     let driver = Driver::new(config, servers_limit, subscribe, sender.clone(), inbox);
     let driver = tokio::spawn(driver.run());
-    tokio::spawn(watching.run());
+    tokio::spawn(watching.run(address));
+    tokio::spawn(follow_configuration(reload, new_address));
 
     let closing = CancellationToken::new();
     let sessions = TaskTracker::new();
@@ -74,6 +75,19 @@
     Ok(())
 }
 
+/// At each SIGHUP, tells where discovery is by the configuration as it is now.
+async fn follow_configuration(mut reload: Signal, address: watch::Sender<SocketAddr>) {
+    while reload.recv().await.is_some() {
+        match Config::discovery_anew() {
+            Ok(new) => {
+                log(format_args!("discovery is at {new}"));
+                let _ = address.send(new); // nobody follows it once the node ends
+            }
+            Err(error) => log(format_args!("configuration kept as it was: {error}")),
+        }
+    }
+}
+
 /// A line for the log. Guards against: a panic where nobody reads the log any more.
 fn log(line: fmt::Arguments) {
     let _ = writeln!(io::stderr(), "{line}");
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -149,6 +149,7 @@
 pub struct Node {
     child: Child,
     addr: SocketAddr,
+    config: tempfile::NamedTempFile,
 }
 
 /// The settings of the tests: classes of each effect, an origin beside the caches.
@@ -219,7 +220,7 @@
         log.read_line(&mut first).unwrap();
         let addr = first.trim().strip_prefix("listening on ").expect(&first).parse().unwrap();
         // From here on nobody reads the log, which the node must not mind.
-        Node { child, addr }
+        Node { child, addr, config: file }
     }
 }
 
@@ -231,8 +232,24 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration by a text, and says so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(self.config.path(), config).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// The configuration as it is, with this address for discovery.
+    pub fn config_with(&self, discovery: SocketAddr) -> String {
+        let text = std::fs::read_to_string(self.config.path()).unwrap();
+        text.replacen("{", &format!(r#"{{"discovery":"{discovery}","#), 1)
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
     /// Waits for its end; tells whether it was a success.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -295,6 +295,73 @@
     }
 }
 
+#[test]
+fn a_silent_discovery_is_asked_anew_before_its_news_count_as_told() {
+    let s = stage(1);
+    let _whole = s.discovery.call();
+    let asked = Instant::now();
+    let again = s.discovery.call();
+    assert_eq!(again.connection, 1);
+    again.http("200 OK", &list(42, &named(&s.caches), s.origin.addr));
+    let (_watch, next) = (s.discovery.call(), s.discovery.call());
+    assert_eq!(next.connection, 2);
+    assert!(asked.elapsed() < Duration::from_secs(6), "{:?}", asked.elapsed());
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_is_skipped_and_the_others_count() {
+    let s = stage(1);
+    let new = Fake::cache();
+    let whole = list(42, &[("s-new", new.addr)], s.origin.addr);
+    s.discovery.call().http("200 OK", &whole.replacen('[', r#"[{"id":"s-bad","addr":"here"},7,"#, 1));
+    let _watch = s.discovery.call();
+    let mut client = s.node.client();
+    client.get("k", "c=read,d=1900");
+    new.call().value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+// ---- a new configuration ----
+
+#[test]
+fn on_sighup_discovery_is_followed_at_its_new_address() {
+    let s = stage(1);
+    s.discovery.call().http("200 OK", &list(50, &named(&s.caches), s.origin.addr));
+    let watch = s.discovery.call();
+    assert_eq!(watch.connection, 0);
+    let (discovery, cache) = (Fake::http(), Fake::cache());
+    s.node.reload(&s.node.config_with(discovery.addr));
+    assert_eq!(s.discovery.closed(), 0, "the watch is broken off");
+    let whole = discovery.call();
+    assert_eq!(whole.words[1], "/discovery/hosts");
+    let mut client = s.node.client();
+    client.get("k", "c=read,d=1900");
+    s.caches[0].call().value("v"); // the old list holds until the new address answers
+    assert_eq!(client.answer().as_deref(), Some("v"));
+    // Its versions need not go on from the old one's.
+    whole.http("200 OK", &list(3, &[("s-new", cache.addr)], s.origin.addr));
+    assert!(discovery.call().words[1].contains("after=3&"));
+    client.get("k", "c=read,d=1900");
+    cache.call().value("w");
+    assert_eq!(client.answer().as_deref(), Some("w"));
+    assert!(s.discovery.called().is_none());
+}
+
+#[test]
+fn on_sighup_a_bad_file_changes_nothing_and_repeats_are_harmless() {
+    let mut s = stage(1);
+    let good = s.node.config_with(s.discovery.addr);
+    let _first = s.discovery.call();
+    s.node.reload("{\"discovery\":7");
+    s.node.client().ping();
+    s.node.reload(&good);
+    s.node.reload(&good);
+    while s.discovery.call().connection == 0 {}
+    s.node.terminate();
+    s.node.reload(&good);
+    assert!(s.node.exit());
+}
+
 // ---- bad input ----
 
 #[test]
