Turn bad clients away at the node, and let crowds make room for the usual ones

Checked by a packet probe: most of those requests name a class that the settings lack, up to 600 on a connection; CPU (0.12 of a second at most), memory (1 MB) and descriptors (239 of 384) are ruled out. At fault in node/clients.rs: a named unknown class counted as none, an id open elsewhere was served, a connection was held for ever by silence or half a command, a malformed frame waited for all answers before it, and room was made one connection per 5 ms from idle ones in no order. memory_mb was not read. Now: those commands get -ERR; at most 64 requests are open on a connection and the excess gets an error; silence and halves end after 2 s, what can't be read after 1.5 s; seats.rs has silent connections make room first, at once, and used ones only after 2 s of rest; work per wake-up is bounded; bounds on memory follow memory_mb.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -2,11 +2,14 @@
 
 use std::env::{self, VarError};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::{fmt, fs, io};
 
 use paddlefold::setup::{Setup, SetupError, Stated};
 use serde::Deserialize;
 
+use super::clients::Bounds;
 use super::discovery::List;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
@@ -14,6 +17,7 @@
 const RESERVED: usize = 24;
 /// Where the configuration sets no limit.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 192;
 
 /// What a node is told.
 pub struct Config {
@@ -21,6 +25,7 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub known: List,
     pub setup: Setup,
 }
@@ -68,6 +73,7 @@
 #[derive(Deserialize, Default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl File {
@@ -91,6 +97,7 @@
             discovery: address("EDGE_DISCOVERY", file.discovery)?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             sockets,
+            memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB),
             known: file.known,
             setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
         })
@@ -105,10 +112,16 @@
         }
     }
 
-    /// Most connections from clients, and to servers.
-    pub fn connection_limits(&self) -> (usize, usize) {
-        let room = self.sockets - RESERVED;
-        (room / 2, room - room / 2)
+    /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
+    /// for those to come; a quarter of the memory.
+    pub fn client_bounds(&self, to_servers: Arc<AtomicUsize>) -> Bounds {
+        let with_servers = self.sockets - RESERVED - self.sockets / 8;
+        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: (self.memory_mb << 20) / 4 }
+    }
+
+    /// Most connections to servers.
+    pub fn server_connections(&self) -> usize {
+        self.sockets - RESERVED - self.sockets / 3
     }
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use paddlefold::setup::Setup;
@@ -106,6 +107,8 @@
     /// Attempts under way: each holds a connection, or is making one.
     running: usize,
     connections: usize,
+    /// How many connections to servers there are, for the clients' side.
+    held: Arc<AtomicUsize>,
     timers: DelayQueue<Due>,
     /// What has happened and is not yet told.
     events: VecDeque<Event>,
@@ -120,6 +123,7 @@
     pub fn new(
         config: Config,
         connections: usize,
+        held: Arc<AtomicUsize>,
         subscribe: Arc<Notify>,
         to_self: UnboundedSender<Message>,
         inbox: UnboundedReceiver<Message>,
@@ -134,6 +138,7 @@
             open: HashMap::new(),
             running: 0,
             connections,
+            held,
             timers: DelayQueue::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -261,6 +266,7 @@
         let attempt = open.attempts.len();
         let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
             let held = self.running + self.directory.idle();
+            self.held.store(held, Ordering::Relaxed);
             if pooled.is_none() && held >= self.connections {
                 self.directory.close_oldest();
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,11 +9,13 @@
 mod driver;
 mod origin;
 mod resp;
+mod seats;
 
 use std::fmt;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -48,15 +50,17 @@
     let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
     let watching = discovery::Watch::new(asked, config.known.version, sender.clone());
     let (new_address, address) = watch::channel(config.discovery);
-    let (clients_limit, servers_limit) = config.connection_limits();
-    let driver = Driver::new(config, servers_limit, subscribe, sender.clone(), inbox);
+    let to_servers = Arc::new(AtomicUsize::new(0));
+    let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
+    let classes = config.setup.class_names();
+    let driver = Driver::new(config, servers_limit, to_servers, subscribe, sender.clone(), inbox);
     let driver = tokio::spawn(driver.run());
     tokio::spawn(watching.run(address));
     tokio::spawn(follow_configuration(reload, new_address));
 
     let closing = CancellationToken::new();
     let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(sender, clients_limit, closing.clone(), sessions.clone());
+    let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone());
     let accepting = tokio::spawn(clients.accept(listener));
     tokio::select! {
         _ = stop.recv() => {}
--- a/src/setup.rs
+++ b/src/setup.rs
@@ -3,7 +3,7 @@
 //! Unknown fields are skipped; names of classes, tenants, zones and kinds become indices.
 
 use std::borrow::Cow;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 
 use serde::Deserialize;
@@ -197,6 +197,10 @@
     pub fn class(&self, name: &str) -> Option<usize> {
         self.classes.get(name).copied()
     }
+    /// The names of all classes.
+    pub fn class_names(&self) -> HashSet<String> {
+        self.classes.keys().cloned().collect()
+    }
     /// The index of a tenant, if the settings name it.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.get(name).copied()
