Spare connections that are new or sending when room is made

At fault: seats.rs counted a client that was just connecting or sending as silent, so that where those who asked once and stay fill the places, honest newcomers made room; and halves of commands ended after 2 s. Now: silent for 0.3 s or more first, then those at rest for 2 s, newcomers and senders only for want of others; 2.5 s.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -24,7 +24,7 @@
 use super::driver::{Arrival, Message};
 use super::log;
 use super::resp::{Malformed, next_frame};
-use super::seats::{Seat, Seats};
+use super::seats::{Guest, Seat, Seats};
 
 /// The longest value.
 pub const VALUE_LIMIT: usize = 64 << 10;
@@ -44,7 +44,7 @@
 /// What an open request is reckoned to hold in memory beside its command.
 const PER_REQUEST: usize = 4 << 10;
 /// A connection that has had nothing good to say for so long is closed: silent, or in the midst of a command.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_millis(2500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
 /// A client that takes no byte of its answers for so long is given up.
@@ -386,9 +386,9 @@
             if unowed && (self.broken.is_some() || stopping && self.buffer.is_empty()) {
                 return writer.shutdown().await;
             }
-            match unowed {
-                true => _ = seat.get_or_insert_with(|| self.shared.seats.take(self.heard, self.since)),
-                false => seat = None,
+            let guest = unowed.then(|| self.guest());
+            if guest != seat.as_ref().map(Seat::guest) {
+                seat = guest.map(|guest| self.shared.seats.take(guest, self.since));
             }
             // Guards against: a client that always has a command under way and so keeps a node that is to
             // stop until it is killed with something unanswered. What is not read, the client sends again.
@@ -429,6 +429,14 @@
         }
     }
 
+    fn guest(&self) -> Guest {
+        match (self.buffer.is_empty(), self.heard) {
+            (false, _) => Guest::Sending,
+            (true, true) => Guest::Resting,
+            (true, false) => Guest::Silent,
+        }
+    }
+
     /// Whether the client is waited for only for a while.
     ///
     /// Guards against: silent connections and halves of commands, which would be held for ever, and an error
--- a/src/node/seats.rs
+++ b/src/node/seats.rs
@@ -8,11 +8,24 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// What is on its way from a new client has come after so long.
+const NEW: Duration = Duration::from_millis(300);
 /// A connection that has been of use is left in peace for so long.
 const IN_USE: Duration = Duration::from_secs(2);
 
-/// Those that have sent nothing good first, then those that have rested for longest.
-type Place = (bool, Instant, u64);
+/// Who holds a seat.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Guest {
+    /// Has sent nothing good yet.
+    Silent,
+    /// Rests between requests.
+    Resting,
+    /// Has sent a part of a command.
+    Sending,
+}
+
+/// Of one kind of guest, those who have waited for longest come first.
+type Place = (Guest, Instant, u64);
 
 #[derive(Default)]
 struct Board {
@@ -30,24 +43,32 @@
     }
 
     /// A seat, for as long as it is held.
-    pub fn take(self: &Arc<Self>, heard: bool, since: Instant) -> Seat {
+    pub fn take(self: &Arc<Self>, guest: Guest, since: Instant) -> Seat {
         let mut board = self.board();
         board.last += 1;
-        let place = (heard, since, board.last);
+        let place = (guest, since, board.last);
         let (sender, cleared) = oneshot::channel();
         board.taken.insert(place, sender);
         Seat { place, cleared, seats: self.clone() }
     }
 
-    /// Has the first in order closed.
+    /// Has one closed: the silent first, then those at rest, and who is just sending or new only for want of
+    /// others.
     ///
-    /// Guards against: honest connections closed as readily as silent ones, or right after an answer, when
-    /// their next request may be on its way.
+    /// Guards against: honest connections closed as readily as silent ones, right after an answer, when their
+    /// next request may be on its way, or while they send.
     pub fn clear_one(&self, now: Instant) {
-        let mut board = self.board();
-        let first = board.taken.first_entry();
-        if let Some(first) = first.filter(|f| !f.key().0 || now >= f.key().1 + IN_USE) {
-            first.remove(); // its holder sees the sender go
+        let taken = &mut self.board().taken;
+        let first = |guest| taken.keys().find(|place| place.0 == guest).copied();
+        let waited = |place: &Place, time| now >= place.1 + time;
+        let (silent, sending) = (first(Guest::Silent), first(Guest::Sending));
+        let chosen = silent
+            .filter(|place| waited(place, NEW))
+            .or_else(|| first(Guest::Resting).filter(|place| waited(place, IN_USE)))
+            .or(silent)
+            .or(sending);
+        if let Some(place) = chosen {
+            taken.remove(&place); // its holder sees the sender go
         }
     }
 }
@@ -60,6 +81,10 @@
 }
 
 impl Seat {
+    pub fn guest(&self) -> Guest {
+        self.place.0
+    }
+
     /// Waits until the seat has to be cleared; for ever without one.
     pub async fn cleared(seat: &mut Option<Seat>) {
         match seat {
