--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -15,6 +15,12 @@
 use super::attempt::Connection;
 use super::discovery::{Entry, List, State};
 
+/// A connection rests for so long before it is used again, if another can be.
+///
+/// Guards against: what the server has still sent or done after its answer, a close or some bytes more, which
+/// meets the next request when that follows at once.
+const REST: Duration = Duration::from_millis(1);
+
 /// Whether a server may be sent anything new; shared with the attempts under way.
 #[derive(Clone)]
 pub struct Standing(Arc<AtomicBool>);
@@ -116,7 +122,8 @@
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         let mut pooled = None;
-        while let Some((since, connection)) = server.idle.pop() {
+        while let Some(place) = server.idle.iter().rposition(|(since, _)| now >= *since + REST) {
+            let (since, connection) = server.idle.remove(place);
             if now < since + limit && connection.is_live() {
                 pooled = Some(connection);
                 break;
--- a/src/node/origin.rs
+++ b/src/node/origin.rs
@@ -56,8 +56,9 @@
                 None => (Reply::of(Outcome::Reset), None),
             },
             Ok(answer) => match read(answer).await {
-                Some(reply) => (reply, Some(self)),
-                None => (Reply::of(Outcome::Reset), None),
+                Ok(reply) => (reply, Some(self)),
+                // Guards against: the rest of such an answer, read as the next one's.
+                Err(outcome) => (Reply::of(outcome), None),
             },
         }
     }
@@ -75,16 +76,16 @@
         .ok()
 }
 
-/// What an answer means; nothing if the connection broke before its end.
-async fn read(answer: Response<Incoming>) -> Option<Reply> {
+/// What an answer means; an error if its connection is of no further use.
+async fn read(answer: Response<Incoming>) -> Result<Reply, Outcome> {
     let (status, headers) = (answer.status(), answer.headers());
     let never_ran = headers.get("X-Unprocessed").is_some_and(|v| v == "1");
     let body = match Limited::new(answer.into_body(), VALUE_LIMIT).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<hyper::Error>() => return None,
-        Err(_) => return Some(Reply::of(Outcome::Failed)), // too long for a value
+        Err(error) if error.is::<hyper::Error>() => return Err(Outcome::Reset),
+        Err(_) => return Err(Outcome::Failed), // too long for a value
     };
-    Some(match status {
+    Ok(match status {
         StatusCode::OK => Reply { value: body, ..Reply::of(Outcome::Ok) },
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => {
             Reply::of(Outcome::QueueFull)
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Long enough for any machine; reached only by a test that fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -308,6 +308,13 @@
     pub fn try_write(&mut self, bytes: &str) {
         let _ = self.reader.get_mut().write_all(bytes.as_bytes());
     }
+    /// Spends the time that a connection to a server rests before it is used again.
+    pub fn rest(&mut self) {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_millis(20) {
+            self.ping();
+        }
+    }
     pub fn ping(&mut self) {
         self.send(&["PING"]);
         assert_eq!(self.answer().as_deref(), Some("+PONG"));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -143,6 +143,7 @@
             s.caches[0].closed();
         }
         assert_eq!(client.answer().as_deref(), Some("v"), "read {n}");
+        client.rest();
     }
 }
 
@@ -160,6 +161,49 @@
             s.origin.closed();
         }
         assert_eq!(client.answer().as_deref(), Some("v"), "write {n}");
+        client.rest();
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_no_answer_to_the_next_request() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    let cached = |value: &str| format!("*3\r\n$3\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n");
+    let http = |value: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{value}");
+    // At once, and once the answer has been passed on.
+    for (n, late) in [false, true, true].into_iter().enumerate() {
+        let value = format!("v-{n}");
+        for server in [&s.caches[0], &s.origin] {
+            let write = server.addr == s.origin.addr;
+            let (answer, old) =
+                if write { (http(&value), http("old")) } else { (cached(&value), cached("old")) };
+            match write {
+                true => client.set("k", "c=put,d=1900", "on"),
+                false => client.get("k", "c=put,d=1900"),
+            }
+            let mut call = server.call();
+            assert_eq!(call.connection, n, "a connection that has said too much");
+            call.answer(if late { answer } else { answer + &old });
+            assert_eq!(client.answer().as_deref(), Some(&*value));
+            if late {
+                call.answer(old);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_too_long_for_a_value_ends_its_connection() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    for n in 0..2 {
+        client.set("k", "c=put,d=1900", "on");
+        let mut call = s.origin.call();
+        assert_eq!(call.connection, n);
+        call.answer(format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{}", "x".repeat(70_000)));
+        assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+        client.rest();
     }
 }
 
@@ -167,8 +211,16 @@
 fn garbage_from_a_server_ends_the_attempt_and_not_the_node() {
     let s = stage(1);
     let mut client = s.node.client();
-    for garbage in ["hello\r\n", "*1\r\n*1\r\n*1\r\n", "$99999999999999999999\r\n", ":1\r\n", "*1\r\n:1\r\n"]
-    {
+    for garbage in [
+        "hello\r\n",
+        "*1\r\n*1\r\n*1\r\n",
+        "$99999999999999999999\r\n",
+        ":1\r\n",
+        "*1\r\n:1\r\n",
+        "*1\r\n$1\r\nx\r\n",
+        "*3\r\n$1\r\nx\r\n$3\r\nhat\r\n$-1\r\n",
+        "*4\r\n$1\r\nx\r\n$-1\r\n$-1\r\n$-1\r\n",
+    ] {
         client.get("k", "c=read,d=1900");
         s.caches[0].call().answer(garbage);
         // It may have run; a read is safe to repeat, and the cache now behaves.
