Keep a place at the caches' gate for each cache

Checked with the module's books logged: CPU, descriptors, retries and the origin's gate are ruled out. At fault in brain.rs, adapt: each attempt that goes badly cuts the limit on all caches together, down to 1 in all, though what goes badly is that most caches are slow, not that they are overrun. The limit now stays at one attempt a cache. Tried with it and left out: refusing reads that wait untried at 0.4 of their time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -390,12 +390,12 @@
 
     /// Adapts how many attempts we keep out: fewer when much goes badly, more while all goes well, and
     /// quickly so up to half the usual: after a restart or a jam a node is not held back.
-    fn adapt(gate: &mut Gate, now: Micros, bad: bool, tau: f64) {
+    fn adapt(gate: &mut Gate, least: f64, now: Micros, bad: bool, tau: f64) {
         gate.note(bad, STRAINED / 3.0, now, tau);
         if !bad && gate.out as f64 + 1.0 > gate.limit / 2.0 {
             gate.limit += if gate.limit < gate.usual / 2.0 { 0.5 } else { 1.0 / gate.limit };
         } else if bad && gate.strain > STRAINED && now >= gate.cut_at {
-            gate.limit = (gate.limit.min(gate.out as f64 + 1.0) * 0.7).max(1.0);
+            gate.limit = (gate.limit.min(gate.out as f64 + 1.0) * 0.7).max(least);
             gate.cut_at = now + gate.timing.mean as Micros;
         }
     }
--- a/src/health.rs
+++ b/src/health.rs
@@ -9,6 +9,8 @@
         let Some(s) = self.servers.get_mut(&to) else { return };
         let overdue = s.close(end.id, end.attempt).is_some_and(|due| due <= self.now);
         let (outcome, elapsed) = (end.outcome, end.elapsed);
+        // Guards against: reads that wait while most caches idle. One attempt each overruns none of them.
+        let least = if s.member.origin { 1.0 } else { self.caches.max(1) as f64 };
         let gate = &mut self.gates[usize::from(s.member.origin)];
         gate.out = gate.out.saturating_sub(1);
         // A queue shows in the time before it spoils the aim; a miss, or a fetch, is but one leg of its read.
@@ -19,7 +21,7 @@
             Outcome::Failed | Outcome::QueueFull | Outcome::ConnectError | Outcome::Reset => true,
             Outcome::Ignored => return,
         };
-        Self::adapt(gate, self.now, bad, tau);
+        Self::adapt(gate, least, self.now, bad, tau);
         if outcome == Outcome::Ok {
             gate.timing.observe(elapsed);
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -465,3 +465,19 @@
         assert_eq!(answered(&actions), !tried, "{budget}");
     }
 }
+
+#[test]
+fn however_badly_it_goes_each_cache_can_have_an_attempt() {
+    let mut node = Node::new(settings(Mode::Aside), 6);
+    // All that is out is overdue, and clients give up on it.
+    for id in 0..200 {
+        node.read(id, &format!("k{id}"));
+        if id % 4 == 3 {
+            node.now += SECOND - 10_000;
+            (id - 3..=id).for_each(|id| _ = node.end(id, 0, Outcome::TimedOut, SECOND - 10_000));
+            (id - 3..=id).for_each(|id| _ = node.tell(Event::ClientGone(RequestId(id))));
+        }
+    }
+    let tried = (200..206).filter(|&id| sent(&node.read(id, &format!("k{id}"))).is_some()).count();
+    assert_eq!(tried, 6);
+}
