Let connections that only ping make room for others

Checked with arrivals and books logged: gates, queues, caches and descriptors to servers are ruled out. At fault, in part: seats.rs spared a connection that had only asked whether the node is there for 2 s. Now only a connection that has had a request is of use.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -338,6 +338,8 @@
     open: usize,
     /// Whether it has ever sent a command that is good.
     heard: bool,
+    /// Whether it has ever had a request. Guards against: crowds that ask whether the node is there, and stay.
+    asked: bool,
     /// Since when nothing good has come: its start, its last answer, or a command's first byte.
     since: Instant,
     /// Whether the buffer may hold another whole command.
@@ -357,6 +359,7 @@
             owed: VecDeque::new(),
             open: 0,
             heard: false,
+            asked: false,
             since: now,
             more: false,
             broken: None,
@@ -430,7 +433,7 @@
     }
 
     fn guest(&self) -> Guest {
-        match (self.buffer.is_empty(), self.heard) {
+        match (self.buffer.is_empty(), self.asked) {
             (false, _) => Guest::Sending,
             (true, true) => Guest::Resting,
             (true, false) => Guest::Silent,
@@ -540,6 +543,7 @@
         // A driver that is gone drops the sender, and the request ends as failed.
         let _ = self.shared.to.send(Message::Arrived(arrival));
         self.open += 1;
+        self.asked = true;
         Ok(Owed::Waiting(Pending { id, answer, _open_id: open_id, _held: held }))
     }
 }
--- a/src/node/seats.rs
+++ b/src/node/seats.rs
@@ -16,7 +16,7 @@
 /// Who holds a seat.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Guest {
-    /// Has sent nothing good yet.
+    /// Has had no request yet.
     Silent,
     /// Rests between requests.
     Resting,
