Let connections at rest make room before clients may open no more

Clients ask once on each and keep it; they may hold a third of the descriptors (128 of 384), 125 of which rest at any time for about 2 s each: 60 a second. The node closed none of them, for its own places (270) were not all taken (seats.rs: clear_one is asked only by a newcomer, and spares those at rest for 2 s).

Now no more than three quarters of the clients' share rest, and the one at rest for longest goes.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -239,7 +239,9 @@
         sessions: TaskTracker,
     ) -> Self {
         let large = Arc::new(Semaphore::new((bounds.memory / 2 / FRAME_LIMIT).max(1)));
-        let (seats, left, next_id, open_ids, held) = Default::default();
+        // Clients may hold a third of the descriptors: some of it stays free for their next connections.
+        let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
+        let (left, next_id, open_ids, held) = Default::default();
         let classes = Arc::new(classes);
         Clients { to, bounds, classes, seats, left, next_id, open_ids, held, large, closing, sessions }
     }
--- a/src/node/seats.rs
+++ b/src/node/seats.rs
@@ -34,21 +34,38 @@
 }
 
 /// Where connections without an open request wait.
-#[derive(Default)]
-pub struct Seats(Mutex<Board>);
+pub struct Seats {
+    board: Mutex<Board>,
+    most_resting: usize,
+}
 
 impl Seats {
+    /// Seats for so many who rest between requests, at most.
+    pub fn new(most_resting: usize) -> Self {
+        Seats { board: Mutex::default(), most_resting }
+    }
+
     fn board(&self) -> MutexGuard<'_, Board> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A seat, for as long as it is held.
+    /// A seat, for as long as it is held. Beyond the most who may rest, the one who has rested for longest goes.
+    ///
+    /// Guards against: clients that ask once on each connection and keep it, until they may open no more. Covers
+    /// pools that never shrink. It hurts clients that keep more connections than that and use all in turn: each
+    /// request then pays for a new one.
     pub fn take(self: &Arc<Self>, guest: Guest, since: Instant) -> Seat {
         let mut board = self.board();
         board.last += 1;
         let place = (guest, since, board.last);
         let (sender, cleared) = oneshot::channel();
         board.taken.insert(place, sender);
+        let resting = || board.taken.keys().filter(|place| place.0 == Guest::Resting);
+        if guest == Guest::Resting && resting().count() > self.most_resting {
+            let first = resting().next().copied();
+            first.and_then(|place| board.taken.remove(&place)); // its holder sees the sender go
+        }
+        drop(board);
         Seat { place, cleared, seats: self.clone() }
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -633,6 +633,22 @@
     assert_eq!(clients[0].answer(), None, "idle longest, closed first");
 }
 
+#[test]
+fn connections_that_rest_make_room_before_clients_may_open_no_more() {
+    let s = stage(1);
+    let known = list(41, &named(&s.caches), s.origin.addr);
+    // A third of 120 is the clients'.
+    let node = Start { sockets: 120, ..Start::new(&known, s.discovery.addr) }.node();
+    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    for client in &mut clients {
+        client.get("k", "c=read,d=15000");
+        s.caches[0].call().value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+    }
+    assert_eq!(clients[0].answer(), None, "at rest for longest, closed first");
+    clients[39].ping();
+}
+
 #[test]
 fn a_crowd_that_says_nothing_takes_the_place_of_its_own_kind() {
     let s = stage(1);
