--- /dev/null
+++ b/crates/codec/src/lib.rs
@@ -0,0 +1,3 @@
+//! Wire formats without I/O: bytes in, frames out, with bounds that hold before anything is allocated.
+
+pub mod resp;
--- a/src/node/resp.rs
+++ b/crates/codec/src/resp.rs
@@ -1,8 +1,10 @@
-//! RESP2 frames from a buffer, with bounds that the codec itself doesn't set.
+//! RESP2: frames from a buffer, with bounds that the library doesn't set; and what we say.
 
-use bytes::{Buf, BytesMut};
+use std::io::Write as _;
+
+use bytes::{Buf, BufMut, BytesMut};
 use redis_protocol::resp2::decode::decode_bytes_mut;
-use redis_protocol::resp2::types::BytesFrame;
+pub use redis_protocol::resp2::types::BytesFrame as Frame;
 
 /// More elements than any command or answer has.
 const ELEMENTS: usize = 64;
@@ -15,9 +17,12 @@
 
 /// Takes the first frame out of the buffer, once it is whole.
 ///
+/// # Errors
+/// If what has come can't be the beginning of a frame.
+///
 /// Guards against: frames nested so deeply that the codec's recursion overflows the stack, and frames
 /// of more than `limit` bytes.
-pub fn next_frame(buffer: &mut BytesMut, limit: usize) -> Result<Option<BytesFrame>, Malformed> {
+pub fn next_frame(buffer: &mut BytesMut, limit: usize) -> Result<Option<Frame>, Malformed> {
     match frame_length(buffer, limit)? {
         None => Ok(None),
         Some(_) => Ok(decode_bytes_mut(buffer).map_err(|_| Malformed)?.map(|(frame, _, _)| frame)),
@@ -71,11 +76,44 @@
     Ok(Some((kind, size)))
 }
 
+/// Appends a bulk string.
+pub fn put_bulk(out: &mut BytesMut, text: &[u8]) {
+    put_header(out, b'$', text.len());
+    out.reserve(text.len() + 2);
+    out.put_slice(text);
+    out.put_slice(b"\r\n");
+}
+
+/// Appends the header of an array of so many elements.
+pub fn put_array(out: &mut BytesMut, elements: usize) {
+    put_header(out, b'*', elements);
+}
+
+/// Appends an error line. The text holds no line break.
+pub fn put_error(out: &mut BytesMut, text: std::fmt::Arguments) {
+    put_line(out, format_args!("-{text}"));
+}
+
+/// Appends a simple string. The text holds no line break.
+pub fn put_simple(out: &mut BytesMut, text: &str) {
+    put_line(out, format_args!("+{text}"));
+}
+
+fn put_header(out: &mut BytesMut, kind: u8, size: usize) {
+    out.put_u8(kind);
+    put_line(out, format_args!("{size}"));
+}
+
+fn put_line(out: &mut BytesMut, text: std::fmt::Arguments) {
+    // A buffer in memory takes whatever it is given.
+    let _ = write!(out.writer(), "{text}\r\n");
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn parse(text: &[u8]) -> Result<Option<BytesFrame>, Malformed> {
+    fn parse(text: &[u8]) -> Result<Option<Frame>, Malformed> {
         next_frame(&mut BytesMut::from(text), 100)
     }
 
@@ -86,9 +124,7 @@
             assert_eq!(parse(&whole[..n]), Ok(None), "{n} bytes");
         }
         let mut buffer = BytesMut::from(&b"*2\r\n$3\r\nGET\r\n$-1\r\n+x"[..]);
-        assert!(
-            matches!(next_frame(&mut buffer, 100), Ok(Some(BytesFrame::Array(parts))) if parts.len() == 2)
-        );
+        assert!(matches!(next_frame(&mut buffer, 100), Ok(Some(Frame::Array(parts))) if parts.len() == 2));
         assert_eq!(&buffer[..], b"+x");
     }
 
@@ -102,6 +138,21 @@
         }
     }
 
+    #[test]
+    fn what_is_put_reads_as_it_was_meant() {
+        let mut text = BytesMut::new();
+        put_array(&mut text, 2);
+        put_bulk(&mut text, b"a\r\n");
+        put_bulk(&mut text, b"");
+        put_error(&mut text, format_args!("ERR {}", 7));
+        put_simple(&mut text, "PONG");
+        let bulk = |text: &'static [u8]| Frame::BulkString(text.into());
+        assert_eq!(next_frame(&mut text, 100), Ok(Some(Frame::Array(vec![bulk(b"a\r\n"), bulk(b"")]))));
+        assert_eq!(next_frame(&mut text, 100), Ok(Some(Frame::Error("ERR 7".into()))));
+        assert_eq!(next_frame(&mut text, 100), Ok(Some(Frame::SimpleString("PONG".into()))));
+        assert!(text.is_empty());
+    }
+
     #[test]
     fn a_bulk_string_ends_with_a_line_break() {
         assert_eq!(parse(b"$1\r\naXY"), Err(Malformed));
--- /dev/null
+++ b/crates/core/src/call.rs
@@ -0,0 +1,123 @@
+//! A client's request and its final answer, in words of no protocol.
+
+use std::fmt;
+
+use bytes::Bytes;
+use paddlefold::Micros;
+
+/// The longest value, in bytes.
+pub const VALUE_LIMIT: usize = 64 << 10;
+/// Key, id and facts together are no longer than this, in bytes.
+const TEXTS: usize = 2 << 10;
+/// The longest wait that is believed, in microseconds.
+const LONGEST: Micros = 3_600_000_000;
+
+/// A client's request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What it is about. Not empty.
+    pub key: String,
+    /// The request's id. It goes on unchanged, in headers too: no control characters.
+    pub id: Bytes,
+    /// The class, an index into the settings' classes.
+    pub class: Option<usize>,
+    /// The tenant, an index into the settings' tenants.
+    pub tenant: Option<usize>,
+    /// How long the client will wait, from when the request's last byte was read.
+    pub wait: Micros,
+    /// By which servers know a keyed write's repeats.
+    pub idempotency: Option<Bytes>,
+    /// What a write stores; none makes it a read.
+    pub value: Option<Bytes>,
+    /// Names and values as in `c=read,t=acme,d=480`: what goes on unchanged, but for `d` to caches. No control
+    /// characters.
+    pub facts: Bytes,
+}
+
+impl Call {
+    /// A call of no told class or tenant, whose client waits for `wait` at most.
+    ///
+    /// # Errors
+    /// If the key is empty, a text holds what can't go on in a header, or something is too long.
+    pub fn new(
+        key: String,
+        id: Bytes,
+        facts: Bytes,
+        value: Option<Bytes>,
+        wait: Micros,
+    ) -> Result<Call, CallError> {
+        if value.as_ref().is_some_and(|value| value.len() > VALUE_LIMIT) {
+            return Err(CallError::ValueTooLong);
+        }
+        let fits = key.len() + id.len() + facts.len() <= TEXTS;
+        if key.is_empty() || !plain(&id) || !plain(&facts) || !fits {
+            return Err(CallError::Text);
+        }
+        let wait = wait.min(LONGEST);
+        Ok(Call { key, id, class: None, tenant: None, wait, idempotency: None, value, facts })
+    }
+
+    /// Whether it changes something.
+    pub fn is_write(&self) -> bool {
+        self.value.is_some()
+    }
+}
+
+/// Whether a text is not empty and may stand in a header (RFC 9110, section 5.5).
+fn plain(text: &[u8]) -> bool {
+    !text.is_empty() && text.iter().all(|&b| b == b'\t' || b >= b' ' && b != 127)
+}
+
+/// Why a call can't be made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// An empty key, or a key, id or facts that can't go on.
+    Text,
+    /// The value is over [`VALUE_LIMIT`].
+    ValueTooLong,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            CallError::Text => "wrong arguments",
+            CallError::ValueTooLong => "value over 64 KiB",
+        })
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// The final answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The value, or the write's receipt, as a server made it for this request.
+    Served(Bytes),
+    /// Refused: trying again is harmless. The client should stay away so long, if that is not 0.
+    Busy(Micros),
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn call(key: &str, id: &[u8], facts: &[u8], value: Option<usize>) -> Result<Call, CallError> {
+        let text = Bytes::copy_from_slice;
+        Call::new(key.into(), text(id), text(facts), value.map(|n| vec![0; n].into()), u64::MAX)
+    }
+
+    #[test]
+    fn what_cannot_go_on_is_no_call() {
+        let long = "x".repeat(TEXTS);
+        for (key, id, facts) in
+            [("", "i", "d=1"), ("k", "", "d=1"), ("k", "i\n", "d=1"), ("k", "i", "\x7f"), (&long, "i", "d=1")]
+        {
+            assert_eq!(call(key, id.as_bytes(), facts.as_bytes(), None).unwrap_err(), CallError::Text);
+        }
+        assert_eq!(call("k", b"i", b"d=1", Some(VALUE_LIMIT + 1)).unwrap_err(), CallError::ValueTooLong);
+        let good = call("k", b"i", b"d=1", Some(VALUE_LIMIT)).unwrap();
+        assert!(good.is_write() && good.wait == LONGEST);
+    }
+}
--- a/src/node/directory.rs
+++ b/crates/core/src/directory.rs
@@ -1,10 +1,8 @@
-//! The servers that discovery has named: their ids for the module, addresses and idle connections.
+//! The servers that the list has named: their ids for the module, addresses and idle connections.
 
 use std::borrow::Cow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use paddlefold::setup::{Setup, micros};
@@ -12,8 +10,8 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::attempt::Connection;
-use super::discovery::{Entry, List, State};
+use crate::members::{Entry, List, State};
+use crate::upstream::{Connection, Standing, Target};
 
 /// A connection rests for so long before it is used again, if another can be.
 ///
@@ -21,40 +19,23 @@
 /// meets the next request when that follows at once.
 const REST: Duration = Duration::from_millis(1);
 
-/// Whether a server may be sent anything new; shared with the attempts under way.
-#[derive(Clone)]
-pub struct Standing(Arc<AtomicBool>);
-
-impl Standing {
-    pub fn serving(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-struct Server {
+struct Server<C> {
     name: String,
     addr: SocketAddr,
     origin: bool,
     standing: Standing,
     /// Connections between requests, the most recently used last.
-    idle: Vec<(Instant, Connection)>,
-}
-
-/// Where an attempt goes.
-pub struct Target {
-    pub addr: SocketAddr,
-    pub origin: bool,
-    pub standing: Standing,
+    idle: Vec<(Instant, C)>,
 }
 
 /// The servers by id.
-pub struct Directory {
-    servers: HashMap<ServerId, Server>,
+pub(crate) struct Directory<C> {
+    servers: HashMap<ServerId, Server<C>>,
     /// An idle connection is closed at this age: before the server does it.
     idle_limit: Duration,
 }
 
-impl Directory {
+impl<C: Connection> Directory<C> {
     pub fn new(keepalive: Duration) -> Self {
         Directory { servers: HashMap::new(), idle_limit: keepalive * 9 / 10 }
     }
@@ -83,7 +64,7 @@
             name: entry.id,
             addr: entry.addr,
             origin,
-            standing: Standing(Arc::new(AtomicBool::new(true))),
+            standing: Standing::new(),
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -91,7 +72,7 @@
             server.addr = entry.addr;
             server.idle.clear();
         }
-        server.standing.0.store(state == MemberState::Up, Ordering::Relaxed);
+        server.standing.set(state == MemberState::Up);
         if state != MemberState::Up {
             server.idle.clear();
         }
@@ -118,7 +99,7 @@
     }
 
     /// Where to send to a server, and the connection to use, if one is at hand.
-    pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<Connection>)> {
+    pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<C>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         let mut pooled = None;
@@ -134,7 +115,7 @@
     }
 
     /// Keeps a connection for the next request, if its server still takes some at that address.
-    pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: Connection, now: Instant) {
+    pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
         if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
             server.idle.push((now, connection));
         }
@@ -169,10 +150,10 @@
     }
 }
 
-impl Server {
+impl<C> Server<C> {
     /// Gone: attempts under way send nothing more. Returns false, to drop it.
     fn close(&self) -> bool {
-        self.standing.0.store(false, Ordering::Relaxed);
+        self.standing.set(false);
         false
     }
 }
--- a/src/node/driver.rs
+++ b/crates/core/src/driver.rs
@@ -10,17 +10,18 @@
 use paddlefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
 
-use super::attempt::{self, Connection, Reply};
-use super::clients::{Answer, Command};
-use super::config::Config;
-use super::directory::{Directory, Target};
-use super::discovery::List;
+use crate::attempt;
+use crate::call::{Answer, Call};
+use crate::directory::Directory;
+use crate::members::{List, Members};
+use crate::requests::Requests;
+use crate::upstream::{Reply, Target, Upstream};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
 const ON_THE_WAY: Micros = 5_000;
@@ -29,40 +30,39 @@
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// What the driver is told.
+/// What the driver is told from outside.
 ///
-/// The channel has no bound of its own: sessions and attempts, of which there are only so many, each
-/// have few messages under way.
-pub enum Message {
+/// The channel has no bound of its own: sessions, of which there are only so many, each have few messages
+/// under way.
+pub(crate) enum Message {
     Arrived(Arrival),
     Gone(RequestId),
-    Ended(Ended),
     List(List),
     ListFailed,
 }
 
 /// A client's request.
-pub struct Arrival {
+pub(crate) struct Arrival {
     pub id: RequestId,
-    pub command: Command,
+    pub call: Call,
     /// When its last byte was read.
     pub at: Instant,
     pub answer: oneshot::Sender<Answer>,
 }
 
 /// An attempt that has run to its end.
-pub struct Ended {
+struct Ended<C> {
     id: RequestId,
     attempt: usize,
     reply: Reply,
     server: ServerId,
     addr: std::net::SocketAddr,
-    connection: Option<Connection>,
+    connection: Option<C>,
 }
 
 /// A request that is owed an answer or has an attempt out.
 struct Open {
-    command: Arc<Command>,
+    call: Arc<Call>,
     /// Taken by the final answer.
     answer: Option<oneshot::Sender<Answer>>,
     /// By their numbers; nothing once an attempt has ended.
@@ -97,59 +97,78 @@
     }
 }
 
+/// What a core is made of.
+pub struct Options {
+    /// The settings.
+    pub setup: Setup,
+    /// For the module's random choices.
+    pub seed: u64,
+    /// The list of servers last known. It counts as whole.
+    pub known: List,
+    /// Most connections to servers.
+    pub connections: usize,
+    /// Bytes that open requests may hold before fronts stop reading on.
+    pub memory: usize,
+}
+
 /// Carries out what the module decides, and tells it what happens.
-pub struct Driver {
+pub struct Driver<U: Upstream> {
     balancer: Balancer,
     setup: Setup,
     clock: Clock,
-    directory: Directory,
+    upstream: U,
+    directory: Directory<U::Connection>,
     open: HashMap<RequestId, Open>,
     /// Attempts under way: each holds a connection, or is making one.
     running: usize,
     connections: usize,
-    /// How many connections to servers there are, for the clients' side.
+    /// How many connections to servers there are, for the fronts.
     held: Arc<AtomicUsize>,
     timers: DelayQueue<Due>,
     /// What has happened and is not yet told.
     events: VecDeque<Event>,
     actions: Vec<Action>,
     subscribe: Arc<Notify>,
-    to_self: UnboundedSender<Message>,
     inbox: UnboundedReceiver<Message>,
+    to_self: UnboundedSender<Ended<U::Connection>>,
+    attempts: UnboundedReceiver<Ended<U::Connection>>,
 }
 
-impl Driver {
-    /// A driver that holds so many connections to servers at most.
-    pub fn new(
-        config: Config,
-        connections: usize,
-        held: Arc<AtomicUsize>,
-        subscribe: Arc<Notify>,
-        to_self: UnboundedSender<Message>,
-        inbox: UnboundedReceiver<Message>,
-    ) -> Self {
-        let (clock, settings) = (Clock::new(), config.setup.settings.clone());
-        let directory = Directory::new(Duration::from_micros(settings.keepalive));
+impl<U: Upstream> Driver<U> {
+    /// A driver that is to be [run](Driver::run), with what fronts and sources of members need of it.
+    pub fn new(options: Options, upstream: U) -> (Self, Requests, Members) {
+        let (clock, settings) = (Clock::new(), options.setup.settings.clone());
+        let (to, inbox) = unbounded_channel();
+        let (to_self, attempts) = unbounded_channel();
+        let subscribe = Arc::new(Notify::new());
+        let asked = settings.must_subscribe.then(|| subscribe.clone());
         let mut driver = Driver {
-            balancer: Balancer::new(settings, config.seed, clock.now()),
-            setup: config.setup,
+            directory: Directory::new(Duration::from_micros(settings.keepalive)),
+            balancer: Balancer::new(settings, options.seed, clock.now()),
+            setup: options.setup,
             clock,
-            directory,
+            upstream,
             open: HashMap::new(),
             running: 0,
-            connections,
-            held,
+            connections: options.connections,
+            held: Arc::default(),
             timers: DelayQueue::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             subscribe,
-            to_self,
             inbox,
+            to_self,
+            attempts,
         };
         driver.timers.insert(Due::Sweep, SWEEP);
-        driver.list(List { full: true, ..config.known });
+        driver.list(List { full: true, ..options.known });
         driver.decide();
-        driver
+        (driver, Requests::new(to.clone(), options.memory), Members { to, asked })
+    }
+
+    /// How many connections to servers there are, kept up to date.
+    pub fn held(&self) -> Arc<AtomicUsize> {
+        self.held.clone()
     }
 
     /// Runs until nobody can tell it anything.
@@ -160,6 +179,7 @@
                     Some(message) => self.told(message),
                     None => return,
                 },
+                Some(ended) = self.attempts.recv() => self.ended(ended),
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
             }
             self.decide();
@@ -170,7 +190,6 @@
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Gone(id) => self.gone(id),
-            Message::Ended(ended) => self.ended(ended),
             Message::List(list) => self.list(list),
             Message::ListFailed => {
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
@@ -220,17 +239,17 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { id, command, at, answer } = arrival;
+        let Arrival { id, call, at, answer } = arrival;
         let spent = at.elapsed().as_micros() as Micros + ON_THE_WAY;
         let request = Request {
             id,
-            class: command.fact("c").and_then(|name| self.setup.class(name)),
-            tenant: command.fact("t").and_then(|name| self.setup.tenant(name)),
-            key: Some(command.key.clone()),
-            budget: command.wait.saturating_sub(spent),
-            write: command.value.is_some(),
+            class: call.class,
+            tenant: call.tenant,
+            key: Some(call.key.clone()),
+            budget: call.wait.saturating_sub(spent),
+            write: call.is_write(),
         };
-        let open = Open { command: Arc::new(command), answer: Some(answer), attempts: Vec::new() };
+        let open = Open { call: Arc::new(call), answer: Some(answer), attempts: Vec::new() };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
@@ -289,15 +308,16 @@
         attempt: usize,
         server: ServerId,
         target: Target,
-        pooled: Option<Connection>,
+        pooled: Option<U::Connection>,
         wait: Duration,
     ) -> AbortHandle {
-        let (command, to) = (self.open[&id].command.clone(), self.to_self.clone());
+        let (call, to, upstream) = (self.open[&id].call.clone(), self.to_self.clone(), self.upstream.clone());
         let connect_timeout = Duration::from_micros(self.setup.connect_timeout);
         let work = async move {
             let addr = target.addr;
-            let (reply, connection) = attempt::run(target, pooled, &command, wait, connect_timeout).await;
-            let _ = to.send(Message::Ended(Ended { id, attempt, reply, server, addr, connection }));
+            let (reply, connection) =
+                attempt::run(upstream, target, pooled, &call, wait, connect_timeout).await;
+            let _ = to.send(Ended { id, attempt, reply, server, addr, connection }); // nobody waits for it once the node ends
         };
         tokio::spawn(work).abort_handle()
     }
@@ -319,7 +339,7 @@
         self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
     }
 
-    fn ended(&mut self, ended: Ended) {
+    fn ended(&mut self, ended: Ended<U::Connection>) {
         let Ended { id, attempt, reply, server, addr, connection } = ended;
         let running = self.close(id, attempt);
         if let Some(connection) = connection {
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,32 @@
+//! The core of a node: open requests, attempts, timers and servers round the decision module.
+//!
+//! It knows no protocol. Three kinds of parts plug into it:
+//!
+//! - a *front* hands in a [`Call`] with [`Requests::open`] and gets exactly one [`Answer`] from the
+//!   [`Pending`] that it holds; dropping that says that the client has gone;
+//! - an [`Upstream`] carries out one attempt at one server and tells how it ended, as an [`Outcome`] of the
+//!   protocol's table;
+//! - a *source of members* hands in [`List`]s by its [`Members`].
+//!
+//! What is sent where, tried again or refused is decided by [`paddlefold::Balancer`] alone: [`Driver`] tells
+//! it what happens and carries out what it asks for.
+
+mod attempt;
+mod call;
+mod directory;
+mod driver;
+mod members;
+mod requests;
+mod upstream;
+
+pub use call::{Answer, Call, CallError, VALUE_LIMIT};
+pub use driver::{Driver, Options};
+pub use members::{Entry, List, Members, State};
+pub use paddlefold::{Micros, Outcome};
+pub use requests::{InUse, Pending, Requests};
+pub use upstream::{Connection, Reply, Target, Upstream};
+
+/// A line for the log. Guards against: a panic where nobody reads the log any more.
+pub fn log(line: std::fmt::Arguments) {
+    let _ = std::io::Write::write_fmt(&mut std::io::stderr(), format_args!("{line}\n"));
+}
--- /dev/null
+++ b/crates/core/src/requests.rs
@@ -0,0 +1,143 @@
+//! The fronts' side of the core: opening requests, and the bounds on what they hold.
+
+use std::collections::HashSet;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use paddlefold::RequestId;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::call::{Answer, Call};
+use crate::driver::{Arrival, Message};
+
+/// What an open request is reckoned to hold in memory beside its command, in bytes.
+const PER_REQUEST: usize = 4 << 10;
+
+/// Opens requests; shared by all fronts.
+#[derive(Clone)]
+pub struct Requests {
+    to: UnboundedSender<Message>,
+    next_id: Arc<AtomicU32>,
+    open_ids: Arc<Mutex<HashSet<Bytes>>>,
+    /// Bytes held by open requests.
+    held: Arc<AtomicUsize>,
+    memory: usize,
+}
+
+/// A request with this id is open.
+#[derive(Debug, PartialEq, Eq)]
+pub struct InUse;
+
+impl Requests {
+    pub(crate) fn new(to: UnboundedSender<Message>, memory: usize) -> Self {
+        let (next_id, open_ids, held) = Default::default();
+        Requests { to, next_id, open_ids, held, memory }
+    }
+
+    /// Opens a request whose last byte was read `at` that time and which came as so many bytes.
+    ///
+    /// # Errors
+    /// If a request with its id is open, at whichever front. Guards against: the answer to another client's
+    /// request, or one for both.
+    pub fn open(&self, call: Call, at: Instant, bytes: usize) -> Result<Pending, InUse> {
+        let open_id = OpenId::take(&call.id, &self.open_ids).ok_or(InUse)?;
+        let held = Held::new(PER_REQUEST + bytes, &self.held);
+        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let (sender, answer) = oneshot::channel();
+        // A driver that is gone drops the sender, and the request ends as failed.
+        let _ = self.to.send(Message::Arrived(Arrival { id, call, at, answer: sender }));
+        Ok(Pending { id, answer, answered: false, to: self.to.clone(), _open_id: open_id, _held: held })
+    }
+
+    /// Whether open requests leave memory for more. A front should read on only then, but for one request of
+    /// each connection.
+    pub fn have_room(&self) -> bool {
+        self.held.load(Ordering::Relaxed) < self.memory
+    }
+}
+
+/// A request that waits for its answer: a future of exactly one. Dropped before, it tells that the client has
+/// gone, so that a front which ends leaves nothing open.
+pub struct Pending {
+    id: RequestId,
+    answer: oneshot::Receiver<Answer>,
+    answered: bool,
+    to: UnboundedSender<Message>,
+    _open_id: OpenId,
+    _held: Held,
+}
+
+impl Pending {
+    /// The answer, if it is there.
+    pub fn try_answer(&mut self) -> Option<Answer> {
+        let answer = match self.answer.try_recv() {
+            Ok(answer) => answer,
+            Err(oneshot::error::TryRecvError::Empty) => return None,
+            Err(oneshot::error::TryRecvError::Closed) => Answer::Failed,
+        };
+        self.answered = true;
+        Some(answer)
+    }
+}
+
+impl Future for Pending {
+    type Output = Answer;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Answer> {
+        Pin::new(&mut self.answer).poll(cx).map(|answer| {
+            self.answered = true;
+            answer.unwrap_or(Answer::Failed)
+        })
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.to.send(Message::Gone(self.id));
+        }
+    }
+}
+
+/// The id of an open request, free again when it is dropped.
+struct OpenId {
+    id: Bytes,
+    all: Arc<Mutex<HashSet<Bytes>>>,
+}
+
+impl OpenId {
+    fn take(id: &Bytes, all: &Arc<Mutex<HashSet<Bytes>>>) -> Option<OpenId> {
+        let new = all.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| OpenId { id: id.clone(), all: all.clone() })
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.all.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
+/// An open request's part of the memory that all share.
+struct Held {
+    bytes: usize,
+    all: Arc<AtomicUsize>,
+}
+
+impl Held {
+    fn new(bytes: usize, all: &Arc<AtomicUsize>) -> Held {
+        all.fetch_add(bytes, Ordering::Relaxed);
+        Held { bytes, all: all.clone() }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/core/src/upstream.rs
@@ -0,0 +1,81 @@
+//! What carries out an attempt: the interface of the upstreams.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use paddlefold::Outcome;
+
+use crate::call::Call;
+
+/// Makes connections to servers.
+///
+/// Neither this nor a [`Connection`] may try anything again or probe: that is decided elsewhere.
+pub trait Upstream: Clone + Send + Sync + 'static {
+    /// A connection to a server, between requests.
+    type Connection: Connection;
+
+    /// Connects to a server. Dropped before, it leaves nothing open.
+    fn connect(&self, target: &Target) -> impl Future<Output = io::Result<Self::Connection>> + Send;
+}
+
+/// A connection to a server, between requests. Dropped, also while a request is out, it closes at once.
+pub trait Connection: Sized + Send + 'static {
+    /// Whether the server has left it open and said nothing unasked.
+    fn is_live(&self) -> bool;
+
+    /// Sends one request and waits for its answer. The connection comes back if another request may use it.
+    fn ask(
+        self,
+        call: &Call,
+        target: &Target,
+        wait: Duration,
+    ) -> impl Future<Output = (Reply, Option<Self>)> + Send;
+}
+
+/// Where an attempt goes.
+#[derive(Clone)]
+pub struct Target {
+    /// The server's address.
+    pub addr: SocketAddr,
+    /// Whether it is the origin, not a cache.
+    pub origin: bool,
+    pub(crate) standing: Standing,
+}
+
+/// Whether a server may be sent anything new; shared with the attempts under way.
+#[derive(Clone)]
+pub(crate) struct Standing(Arc<AtomicBool>);
+
+impl Standing {
+    pub fn new() -> Self {
+        Standing(Arc::new(AtomicBool::new(true)))
+    }
+    pub fn serving(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+    pub fn set(&self, serving: bool) {
+        self.0.store(serving, Ordering::Relaxed);
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct Reply {
+    /// By the protocol's table.
+    pub outcome: Outcome,
+    /// What to serve, after [`Outcome::Ok`].
+    pub value: Bytes,
+    /// Whether the value was at hand, where the server told.
+    pub hit: Option<bool>,
+}
+
+impl Reply {
+    /// An outcome that comes with nothing.
+    pub fn of(outcome: Outcome) -> Self {
+        Reply { outcome, value: Bytes::new(), hit: None }
+    }
+}
--- /dev/null
+++ b/crates/fronts/src/lib.rs
@@ -0,0 +1,14 @@
+//! What clients speak.
+//!
+//! A [`Protocol`] turns bytes into calls and answers into bytes, without I/O. All else is alike for every
+//! front: the [`Hall`] takes connections of any number of listeners and bounds them together, and a session
+//! for each connection reads, opens requests at the core, writes the answers in order and knows when to part.
+
+mod hall;
+mod protocol;
+pub mod resp;
+mod seats;
+mod session;
+
+pub use hall::{Bounds, Hall};
+pub use protocol::{Input, Malformed, Parting, Protocol, Refusal};
--- /dev/null
+++ b/crates/fronts/src/protocol.rs
@@ -0,0 +1,65 @@
+//! The interface of a protocol that clients speak.
+
+use bytes::BytesMut;
+use lilacquay_core::{Answer, Call};
+
+/// One connection's side of a protocol: a state machine without I/O.
+pub trait Protocol: Send + 'static {
+    /// What is kept of a command to word its answer.
+    type Reply: Send + 'static;
+
+    /// The longest command that is read to its end, if only to say that it is too long, in bytes.
+    const LONGEST: usize;
+
+    /// Takes the first command out of the buffer, once it is whole.
+    ///
+    /// # Errors
+    /// If what has come can't be the beginning of a command. Nothing more is read then.
+    fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Input<Self::Reply>>, Malformed>;
+
+    /// Words the final answer to a call.
+    fn answer(&mut self, reply: Self::Reply, answer: Answer, out: &mut BytesMut);
+
+    /// Words why a call was not begun.
+    fn refuse(&mut self, reply: Self::Reply, why: Refusal, out: &mut BytesMut);
+
+    /// The last words before the connection closes.
+    fn part(&mut self, why: Parting, out: &mut BytesMut);
+}
+
+/// A whole command.
+pub enum Input<R> {
+    /// A request for the core.
+    Call(Box<Call>, R),
+    /// Answered here with this text, in its turn. A `good` one is a sign of an honest client.
+    Said {
+        /// What is written; nothing may be.
+        text: BytesMut,
+        /// Whether the command was one that the protocol knows, used as it should be.
+        good: bool,
+    },
+    /// The client asks for a close once all before it is answered and this text is written.
+    Quit(BytesMut),
+}
+
+/// Not the protocol.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+/// Why a call was not begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// A request with its id is open.
+    InUse,
+    /// Too many requests are open on its connection.
+    TooMany,
+}
+
+/// Why a connection closes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Parting {
+    /// It sent what can't be read.
+    Malformed,
+    /// It sent no whole command for too long.
+    Silent,
+}
--- /dev/null
+++ b/crates/fronts/src/session.rs
@@ -0,0 +1,274 @@
+//! One client's connection: reads commands, opens requests, writes the answers in the order of the commands.
+
+use std::collections::VecDeque;
+use std::io;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use lilacquay_core::{Answer, Call, Pending, VALUE_LIMIT};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::hall::Hall;
+use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
+use crate::seats::{Guest, Seat};
+
+/// What a buffer that is not small is reckoned to hold, in bytes: the longest command of any protocol.
+pub(crate) const LARGE: usize = 2 * VALUE_LIMIT;
+/// Requests that one connection may have open; those beyond are answered with an error.
+const PIPELINED: usize = 64;
+/// Answers owed on one connection, errors among them; beyond that it is not read.
+const OWED: usize = 1024;
+/// Commands begun, and bytes of answers written, before others have their turn.
+const TURN: usize = 32;
+const WRITTEN: usize = 16 << 10;
+/// A buffer of up to this size is any connection's; larger ones are for a few at a time.
+const SMALL: usize = 8 << 10;
+/// A connection that has had nothing good to say for so long is closed: silent, or in the midst of a command.
+const PATIENCE: Duration = Duration::from_millis(2500);
+/// After what can't be read, answers that are owed are waited for so long.
+const PARTING: Duration = Duration::from_millis(1500);
+/// A client that takes no byte of its answers for so long is given up.
+const STUCK: Duration = Duration::from_secs(5);
+
+/// An answer that is owed, in the order of the commands.
+enum Owed<R> {
+    Ready(BytesMut),
+    Waiting(Pending, R),
+}
+
+pub(crate) struct Session<P: Protocol> {
+    hall: Hall,
+    protocol: P,
+    buffer: BytesMut,
+    /// The place of a buffer that is not small.
+    large: Option<OwnedSemaphorePermit>,
+    read_at: Instant,
+    owed: VecDeque<Owed<P::Reply>>,
+    /// How many of those owed are requests.
+    open: usize,
+    /// Whether it has ever sent a command that is good.
+    heard: bool,
+    /// Whether it has ever had a request. Guards against: crowds that ask whether the node is there, and stay.
+    asked: bool,
+    /// Since when nothing good has come: its start, its last answer, or a command's first byte.
+    since: Instant,
+    /// Whether the buffer may hold another whole command.
+    more: bool,
+    /// When something came that can't be read: nothing more is.
+    broken: Option<Instant>,
+    /// Whether the client has asked for a close: nothing more is read.
+    quits: bool,
+}
+
+impl<P: Protocol> Session<P> {
+    pub fn new(hall: Hall, protocol: P) -> Self {
+        let now = Instant::now();
+        Session {
+            hall,
+            protocol,
+            buffer: BytesMut::new(),
+            large: None,
+            read_at: now,
+            owed: VecDeque::new(),
+            open: 0,
+            heard: false,
+            asked: false,
+            since: now,
+            more: false,
+            broken: None,
+            quits: false,
+        }
+    }
+
+    pub async fn run(mut self, mut stream: TcpStream) {
+        // Whether it ended by a break or between requests is all one here.
+        let _ = self.serve(&mut stream).await;
+        self.owed.clear(); // those who wait are gone
+        drop(stream);
+        self.hall.left.notify_waiters();
+    }
+
+    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (mut reader, mut writer) = stream.split();
+        let (closing, large) = (self.hall.closing.clone(), self.hall.large.clone());
+        let mut seat = None;
+        loop {
+            let unowed = self.owed.is_empty();
+            let stopping = closing.is_cancelled();
+            if unowed && (self.broken.is_some() || self.quits || stopping && self.buffer.is_empty()) {
+                return writer.shutdown().await;
+            }
+            let guest = unowed.then(|| self.guest());
+            if guest != seat.as_ref().map(Seat::guest) {
+                seat = guest.map(|guest| self.hall.seats.take(guest, self.since));
+            }
+            // Guards against: a client that always has a command under way and so keeps a node that is to
+            // stop until it is killed with something unanswered. What is not read, the client sends again.
+            let reading = self.may_begin() && !self.more && (!stopping || unowed);
+            let roomy = self.buffer.len() < SMALL || self.large.is_some();
+            let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
+            tokio::select! {
+                biased;
+                read = reader.read_buf(&mut self.buffer), if reading && roomy => {
+                    let read = read?;
+                    if read == 0 {
+                        return Ok(());
+                    }
+                    self.read_at = Instant::now();
+                    if self.heard && read == self.buffer.len() {
+                        self.since = self.read_at; // a command's first byte
+                    }
+                }
+                // Guards against: long commands on all connections at once, which outgrow the memory.
+                Ok(place) = large.clone().acquire_owned(), if reading && !roomy => self.large = Some(place),
+                (owed, answer) = next(&mut self.owed), if !unowed => {
+                    let text = self.answers(owed, answer);
+                    timeout(STUCK, writer.write_all(&text)).await??;
+                    self.since = Instant::now();
+                }
+                () = yield_now(), if self.more => {}
+                () = closing.cancelled(), if !stopping => {}
+                () = sleep_until(give_up_at), if may_give_up => {
+                    let mut text = BytesMut::new();
+                    self.protocol.part(Parting::Silent, &mut text);
+                    timeout(STUCK, writer.write_all(&text)).await??;
+                    return writer.shutdown().await;
+                }
+                () = Seat::cleared(&mut seat) => return writer.shutdown().await,
+            }
+            self.begin();
+        }
+    }
+
+    fn guest(&self) -> Guest {
+        match (self.buffer.is_empty(), self.asked) {
+            (false, _) => Guest::Sending,
+            (true, true) => Guest::Resting,
+            (true, false) => Guest::Silent,
+        }
+    }
+
+    /// Whether the client is waited for only for a while.
+    ///
+    /// Guards against: silent connections and halves of commands, which would be held for ever, and an error
+    /// that waits behind an answer which is long in coming.
+    fn may_give_up(&self) -> bool {
+        self.broken.is_some() || self.owed.is_empty() && (!self.heard || !self.buffer.is_empty())
+    }
+
+    fn give_up_at(&self) -> Instant {
+        self.broken.map_or(self.since + PATIENCE, |at| at + PARTING)
+    }
+
+    /// The text of an answer, and of those behind it that are at hand.
+    fn answers(&mut self, first: Owed<P::Reply>, answer: Option<Answer>) -> BytesMut {
+        let (mut text, mut owed, mut answer) = (BytesMut::new(), first, answer);
+        loop {
+            match (owed, answer) {
+                (Owed::Ready(ready), _) if text.is_empty() => text = ready,
+                (Owed::Ready(ready), _) => text.extend_from_slice(&ready),
+                (Owed::Waiting(_, reply), answer) => {
+                    self.open -= 1;
+                    self.protocol.answer(reply, answer.unwrap_or(Answer::Failed), &mut text);
+                }
+            }
+            answer = match self.owed.front_mut() {
+                Some(_) if text.len() >= WRITTEN => return text,
+                Some(Owed::Ready(_)) => None,
+                Some(Owed::Waiting(pending, _)) => match pending.try_answer() {
+                    Some(answer) => Some(answer),
+                    None => return text, // not yet
+                },
+                None => return text,
+            };
+            owed = self.owed.pop_front().expect("looked at above");
+        }
+    }
+
+    /// Whether another command may be begun.
+    fn may_begin(&self) -> bool {
+        let room = || self.hall.requests.have_room();
+        self.broken.is_none() && !self.quits && self.owed.len() < OWED && (self.owed.is_empty() || room())
+    }
+
+    /// Begins commands that have come whole, as many as have their turn.
+    fn begin(&mut self) {
+        let before = self.buffer.len();
+        self.more = self.begin_some();
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new(); // what has grown goes back
+        }
+        if self.buffer.len() < SMALL {
+            self.large = None;
+        }
+        if self.buffer.len() < before {
+            self.since = Instant::now();
+        }
+    }
+
+    /// Tells whether there may be more.
+    fn begin_some(&mut self) -> bool {
+        for _ in 0..TURN {
+            if !self.may_begin() {
+                return false;
+            }
+            let before = self.buffer.len();
+            let owed = match self.protocol.next(&mut self.buffer) {
+                Ok(None) => return false,
+                Ok(Some(Input::Call(call, reply))) => self.request(*call, reply, before - self.buffer.len()),
+                Ok(Some(Input::Said { text, good })) => {
+                    self.heard |= good;
+                    Owed::Ready(text)
+                }
+                Ok(Some(Input::Quit(text))) => {
+                    self.quits = true;
+                    self.buffer.clear();
+                    Owed::Ready(text)
+                }
+                Err(Malformed) => {
+                    self.broken = Some(Instant::now());
+                    self.buffer.clear();
+                    let mut text = BytesMut::new();
+                    self.protocol.part(Parting::Malformed, &mut text);
+                    Owed::Ready(text)
+                }
+            };
+            self.owed.push_back(owed);
+        }
+        true
+    }
+
+    fn request(&mut self, call: Call, reply: P::Reply, length: usize) -> Owed<P::Reply> {
+        let opened = match self.open < PIPELINED {
+            true => self.hall.requests.open(call, self.read_at, length).map_err(|_| Refusal::InUse),
+            false => Err(Refusal::TooMany),
+        };
+        match opened {
+            Ok(pending) => {
+                (self.open, self.asked, self.heard) = (self.open + 1, true, true);
+                Owed::Waiting(pending, reply)
+            }
+            Err(why) => {
+                let mut text = BytesMut::new();
+                self.protocol.refuse(reply, why, &mut text);
+                Owed::Ready(text)
+            }
+        }
+    }
+}
+
+/// The next one owed, once it can be answered, with its answer if it waited for one. Cancelled between, it
+/// loses nothing.
+async fn next<R>(owed: &mut VecDeque<Owed<R>>) -> (Owed<R>, Option<Answer>) {
+    let answer = match owed.front_mut() {
+        Some(Owed::Waiting(pending, _)) => Some(pending.await),
+        Some(Owed::Ready(_)) => None,
+        None => std::future::pending().await,
+    };
+    (owed.pop_front().expect("looked at above"), answer)
+}
--- a/src/node/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -6,12 +6,11 @@
 use std::sync::atomic::AtomicUsize;
 use std::{fmt, fs, io};
 
+use lilacquay_fronts::Bounds;
+use lilacquay_members::discovery::Told;
 use paddlefold::setup::{Setup, SetupError, Stated};
 use serde::Deserialize;
 
-use super::clients::Bounds;
-use super::discovery::List;
-
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
 const RESERVED: usize = 24;
@@ -26,7 +25,7 @@
     pub seed: u64,
     pub sockets: usize,
     pub memory_mb: usize,
-    pub known: List,
+    pub known: Told,
     pub setup: Setup,
 }
 
@@ -66,7 +65,7 @@
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
-    known: List,
+    known: Told,
     settings: Stated,
 }
 
@@ -113,10 +112,15 @@
     }
 
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
-    /// for those to come; a quarter of the memory.
+    /// for those to come.
     pub fn client_bounds(&self, to_servers: Arc<AtomicUsize>) -> Bounds {
         let with_servers = self.sockets - RESERVED - self.sockets / 8;
-        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: (self.memory_mb << 20) / 4 }
+        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: self.request_memory() }
+    }
+
+    /// Bytes that open requests may hold: an eighth of the memory, as buffers may that are not small.
+    pub fn request_memory(&self) -> usize {
+        (self.memory_mb << 20) / 8
     }
 
     /// Most connections to servers.
--- a/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -1,13 +1,12 @@
 //! One cache-proxy node: reads its configuration, serves until it is told to stop.
 
-#![forbid(unsafe_code)]
-
+mod config;
 mod node;
 
 use std::fmt::Display;
 use std::process::ExitCode;
 
-use node::config::Config;
+use config::Config;
 
 fn main() -> ExitCode {
     let config = match Config::from_env() {
--- a/src/node/mod.rs
+++ b/crates/lilacquay/src/node.rs
@@ -1,32 +1,20 @@
-//! The node on real sockets: carries out what the module decides and tells it what happens.
+//! The node on real sockets: puts the core, its front, its upstreams and its source of members together.
 
-mod attempt;
-mod caches;
-mod clients;
-pub mod config;
-mod directory;
-mod discovery;
-mod driver;
-mod origin;
-mod resp;
-mod seats;
-
-use std::fmt;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
+use lilacquay_core::{Driver, Options, log};
+use lilacquay_fronts::Hall;
+use lilacquay_fronts::resp::Resp;
+use lilacquay_members::discovery;
+use lilacquay_upstreams::Servers;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use config::Config;
-use driver::Driver;
+use crate::config::Config;
 
 /// After word to stop, connections that were on their way are still taken for so long.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -45,23 +33,17 @@
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
     log(format_args!("listening on {}", listener.local_addr()?));
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
-    let (sender, inbox) = mpsc::unbounded_channel();
-    let subscribe = Arc::new(Notify::new());
-    let asked = config.setup.settings.must_subscribe.then(|| subscribe.clone());
-    let watching = discovery::Watch::new(asked, config.known.version, sender.clone());
-    let (new_address, address) = watch::channel(config.discovery);
-    let to_servers = Arc::new(AtomicUsize::new(0));
-    let (bounds, servers_limit) = (config.client_bounds(to_servers.clone()), config.server_connections());
-    let classes = config.setup.class_names();
-    let driver = Driver::new(config, servers_limit, to_servers, subscribe, sender.clone(), inbox);
+    let (connections, memory) = (config.server_connections(), config.request_memory());
+    let (version, known) = (config.known.version, config.known.list.clone());
+    let options = Options { setup: config.setup.clone(), seed: config.seed, known, connections, memory };
+    let names = config.setup.names.clone();
+    let (driver, requests, members) = Driver::new(options, Servers);
+    let hall = Hall::new(requests, config.client_bounds(driver.held()));
     let driver = tokio::spawn(driver.run());
-    tokio::spawn(watching.run(address));
+    let (new_address, address) = watch::channel(config.discovery);
+    tokio::spawn(discovery::Watch::new(members, version).run(address));
     tokio::spawn(follow_configuration(reload, new_address));
-
-    let closing = CancellationToken::new();
-    let sessions = TaskTracker::new();
-    let clients = clients::Clients::new(sender, bounds, classes, closing.clone(), sessions.clone());
-    let accepting = tokio::spawn(clients.accept(listener));
+    let accepting = tokio::spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
     tokio::select! {
         _ = stop.recv() => {}
         ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
@@ -70,12 +52,7 @@
     sleep(STILL_ACCEPTING).await;
     accepting.abort();
     let _ = accepting.await; // the listener is closed with it
-    closing.cancel();
-    sessions.close();
-    tokio::select! {
-        () = sessions.wait() => {}
-        () = sleep_until(last) => {}
-    }
+    let _ = timeout_at(last, hall.close()).await; // what is not answered by then can't be
     Ok(())
 }
 
@@ -91,8 +68,3 @@
         }
     }
 }
-
-/// A line for the log. Guards against: a panic where nobody reads the log any more.
-fn log(line: fmt::Arguments) {
-    let _ = writeln!(io::stderr(), "{line}");
-}
--- a/tests/node.rs
+++ b/crates/lilacquay/tests/node.rs
@@ -1,12 +1,11 @@
 //! The node over loopback sockets, between scripted servers and a client.
 
-#[path = "common/fakes.rs"]
-mod fakes;
+mod common;
 
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fakes::*;
+use common::*;
 
 /// A node with some caches, an origin, and a discovery that answers nothing unless the test does.
 struct Stage {
--- a/src/node/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -1,7 +1,6 @@
 //! Discovery: the whole list at once, then a watch; see `Watch::run`.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,17 +9,14 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use lilacquay_core::{Entry, List, Members, State, log};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::driver::Message;
-use super::log;
-
 /// How long a watch waits for news, and how much longer the answer may take. Guards against: a discovery
 /// that has fallen silent and is believed to have no news for long; what it has to tell counts as told
 /// after 6 s, and 4 s after a reload.
@@ -33,17 +29,18 @@
 
 /// An answer of discovery.
 #[derive(Deserialize, Default, Debug)]
-#[serde(from = "Told")]
-pub struct List {
+#[serde(from = "Whole")]
+pub struct Told {
+    /// A watch goes on from here.
     pub version: u64,
-    pub full: bool,
-    pub servers: Vec<Entry>,
+    /// What it tells.
+    pub list: List,
     /// Entries that can't be read.
     pub skipped: usize,
 }
 
 #[derive(Deserialize)]
-struct Told {
+struct Whole {
     #[serde(default)]
     version: u64,
     #[serde(default)]
@@ -56,55 +53,65 @@
 #[derive(Deserialize)]
 #[serde(untagged)]
 enum Listed {
-    Entry(Entry),
+    Server(Server),
     Unreadable(IgnoredAny),
 }
 
-impl From<Told> for List {
-    fn from(told: Told) -> List {
-        let listed = told.servers.len();
-        let readable = told.servers.into_iter().filter_map(|one| match one {
-            Listed::Entry(entry) => Some(entry),
-            Listed::Unreadable(_) => None,
-        });
-        let servers: Vec<Entry> = readable.collect();
-        List { version: told.version, full: told.full, skipped: listed - servers.len(), servers }
-    }
-}
-
-/// A server in the list.
-#[derive(Deserialize, Debug)]
-pub struct Entry {
-    pub id: String,
-    pub addr: SocketAddr,
+/// A server, as discovery words it.
+#[derive(Deserialize)]
+struct Server {
+    id: String,
+    addr: SocketAddr,
     #[serde(default)]
-    pub zone: String,
+    zone: String,
     #[serde(default)]
-    pub kind: String,
+    kind: String,
     #[serde(default)]
-    pub cell: u32,
-    pub state: State,
+    cell: u32,
+    state: Word,
     #[serde(default)]
-    pub weight: Option<f64>,
+    weight: Option<f64>,
     #[serde(default)]
-    pub started_ms: f64,
+    started_ms: f64,
 }
 
-/// Whether a server takes requests.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
-pub enum State {
+enum Word {
     Serving,
     Draining,
     Deleted,
 }
 
+impl From<Whole> for Told {
+    fn from(told: Whole) -> Told {
+        let listed = told.servers.len();
+        let readable = told.servers.into_iter().filter_map(|one| match one {
+            Listed::Server(server) => Some(Entry::from(server)),
+            Listed::Unreadable(_) => None,
+        });
+        let servers: Vec<Entry> = readable.collect();
+        let skipped = listed - servers.len();
+        Told { version: told.version, list: List { full: told.full, servers }, skipped }
+    }
+}
+
+impl From<Server> for Entry {
+    fn from(server: Server) -> Entry {
+        let Server { id, addr, zone, kind, cell, state, weight, started_ms } = server;
+        let state = match state {
+            Word::Serving => State::Serving,
+            Word::Draining => State::Draining,
+            Word::Deleted => State::Deleted,
+        };
+        Entry { id, addr, zone, kind, cell, state, weight, started_ms }
+    }
+}
+
 /// Follows the list.
 pub struct Watch {
-    /// Where the list must be subscribed to: told when the module asks for it, at first and after a failure.
-    asked: Option<Arc<Notify>>,
+    to: Members,
     after: u64,
-    to: UnboundedSender<Message>,
     connection: Option<Client>,
     /// Whether the whole list is wanted: what is known from before may be old.
     whole: bool,
@@ -123,9 +130,10 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 impl Watch {
-    pub fn new(asked: Option<Arc<Notify>>, after: u64, to: UnboundedSender<Message>) -> Self {
-        let held = asked.is_some();
-        Watch { asked, after, to, connection: None, whole: true, held, complained: false }
+    /// A watch that knows a list of this version.
+    pub fn new(to: Members, after: u64) -> Self {
+        let held = to.asked().is_some();
+        Watch { to, after, connection: None, whole: true, held, complained: false }
     }
 
     /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list. A
@@ -141,15 +149,19 @@
                 }
                 told = self.call(at) => told,
             };
-            if self.to.send(told).is_err() {
+            let heard = match told {
+                Some(list) => self.to.list(list),
+                None => self.to.failed(),
+            };
+            if !heard {
                 return;
             }
         }
     }
 
-    /// The next call, when it is due. Cancelled, it leaves nothing open.
-    async fn call(&mut self, at: SocketAddr) -> Message {
-        match &self.asked {
+    /// The next call, when it is due; nothing if it failed. Cancelled, it leaves nothing open.
+    async fn call(&mut self, at: SocketAddr) -> Option<List> {
+        match self.to.asked() {
             Some(asked) if self.held => asked.notified().await,
             None if self.held => sleep(PAUSE).await,
             _ => {}
@@ -162,22 +174,22 @@
         let told = timeout(limit, self.fetch(at, &path)).await.unwrap_or_else(|late| Err(late.into()));
         self.held = told.is_err();
         match told {
-            Ok(list) => {
-                (self.whole, self.after) = (false, list.version);
-                if list.skipped > 0 && !self.complained {
-                    log(format_args!("discovery: {} entries can't be read and are skipped", list.skipped));
+            Ok(told) => {
+                (self.whole, self.after) = (false, told.version);
+                if told.skipped > 0 && !self.complained {
+                    log(format_args!("discovery: {} entries can't be read and are skipped", told.skipped));
                     self.complained = true;
                 }
-                Message::List(list)
+                Some(told.list)
             }
             Err(error) => {
                 log(format_args!("discovery: {error}"));
-                Message::ListFailed
+                None
             }
         }
     }
 
-    async fn fetch(&mut self, at: SocketAddr, path: &str) -> Result<List, Error> {
+    async fn fetch(&mut self, at: SocketAddr, path: &str) -> Result<Told, Error> {
         let mut client = match self.connection.take().filter(|client| !client.sender.is_closed()) {
             Some(client) => client,
             None => connect(at).await?,
@@ -190,12 +202,12 @@
         if status != StatusCode::OK {
             return Err(format!("answered {status}").into());
         }
-        let list: List = serde_json::from_slice(&body)?;
-        if list.full && list.servers.is_empty() && list.skipped > 0 {
+        let told: Told = serde_json::from_slice(&body)?;
+        if told.list.full && told.list.servers.is_empty() && told.skipped > 0 {
             return Err("no entry of the list can be read".into());
         }
         self.connection = Some(client);
-        Ok(list)
+        Ok(told)
     }
 }
 
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,3 @@
+//! Where the list of servers comes from: a module for each source.
+
+pub mod discovery;
--- a/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -18,9 +18,6 @@
 //! balancer.on_event(10, Event::Request(read), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: RequestId(1), .. })));
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
 mod api;
 mod brain;
 pub mod setup;
@@ -29,8 +26,3 @@
 
 pub use api::*;
 pub use brain::Balancer;
-
-/// The README's example, compiled and run as a test.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct Readme;
--- a/src/setup.rs
+++ b/crates/paddlefold/src/setup.rs
@@ -3,8 +3,9 @@
 //! Unknown fields are skipped; names of classes, tenants, zones and kinds become indices.
 
 use std::borrow::Cow;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
+use std::sync::Arc;
 
 use serde::Deserialize;
 
@@ -117,8 +118,26 @@
 
 impl std::error::Error for SetupError {}
 
+/// The names behind the indices of classes and tenants.
+#[derive(Debug, Default)]
+pub struct Names {
+    classes: HashMap<String, usize>,
+    tenants: HashMap<String, usize>,
+}
+
+impl Names {
+    /// The index of a class, if the settings name it.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+    /// The index of a tenant, if the settings name it.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.tenants.get(name).copied()
+    }
+}
+
 /// What the settings tell: the module's part, the node's part, and the names behind the indices.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Setup {
     /// What the module is told.
     pub settings: Settings,
@@ -126,8 +145,8 @@
     pub connect_timeout: Micros,
     /// The longest that a client of any class waits.
     pub longest_deadline: Micros,
-    classes: HashMap<String, usize>,
-    tenants: HashMap<String, usize>,
+    /// What classes and tenants are called.
+    pub names: Arc<Names>,
     zones: HashMap<String, u32>,
     kinds: HashMap<String, u32>,
     origin_kind: Option<String>,
@@ -183,8 +202,10 @@
             settings,
             connect_timeout: limits.connect_timeout.map_or(CONNECT_TIMEOUT, micros),
             longest_deadline: hard_limits.max().unwrap_or(0),
-            classes: index(setup.classes.into_iter().map(|c| c.name).collect()),
-            tenants: index(setup.tenants.into_iter().map(|t| t.name).collect()),
+            names: Arc::new(Names {
+                classes: index(setup.classes.into_iter().map(|c| c.name).collect()),
+                tenants: index(setup.tenants.into_iter().map(|t| t.name).collect()),
+            }),
             zones: setup.dcs.into_iter().zip(0..).collect(),
             origin_kind: origin_kind.and_then(|k| setup.skus.get(k).cloned()),
             kinds: setup.skus.into_iter().zip(0..).collect(),
@@ -193,18 +214,6 @@
 }
 
 impl Setup {
-    /// The index of a class, if the settings name it.
-    pub fn class(&self, name: &str) -> Option<usize> {
-        self.classes.get(name).copied()
-    }
-    /// The names of all classes.
-    pub fn class_names(&self) -> HashSet<String> {
-        self.classes.keys().cloned().collect()
-    }
-    /// The index of a tenant, if the settings name it.
-    pub fn tenant(&self, name: &str) -> Option<usize> {
-        self.tenants.get(name).copied()
-    }
     /// The number of a zone; a new one for a name not met before.
     pub fn zone(&mut self, name: Cow<str>) -> u32 {
         number(&mut self.zones, name)
--- a/src/wire.rs
+++ b/crates/paddlefold/src/wire.rs
@@ -286,12 +286,12 @@
 
     fn request(&self, request: NewRequest) -> Event {
         let tenant = match request.user_group {
-            Some(NameOrNumber::Name(name)) => self.setup.tenant(&name),
+            Some(NameOrNumber::Name(name)) => self.setup.names.tenant(&name),
             Some(NameOrNumber::Number(IgnoredAny)) | None => None,
         };
         Event::Request(Request {
             id: RequestId(request.rid),
-            class: self.setup.class(&request.lane),
+            class: self.setup.names.class(&request.lane),
             tenant,
             key: request.name_key,
             budget: micros(request.budget),
--- a/src/node/origin.rs
+++ b/crates/upstreams/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,42 +11,60 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use paddlefold::Outcome;
+use lilacquay_core::{Call, Connection, Outcome, Reply, Target, VALUE_LIMIT};
+use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use super::attempt::Reply;
-use super::clients::{Command, VALUE_LIMIT};
+/// What a key may not show in a path.
+const ESCAPED: &AsciiSet = &CONTROLS
+    .add(b' ')
+    .add(b'"')
+    .add(b'#')
+    .add(b'%')
+    .add(b'<')
+    .add(b'>')
+    .add(b'?')
+    .add(b'`')
+    .add(b'{')
+    .add(b'}');
 
-/// A connection between requests.
-pub struct Connection {
+/// A connection to the origin, between requests.
+pub struct Origin {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
 }
 
-impl Drop for Connection {
+impl Drop for Origin {
     /// Closes the socket at once, also while a request is out.
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Connection {
+impl Origin {
+    /// Speaks HTTP/1.1 on a connection that is up.
+    ///
+    /// # Errors
+    /// If the connection has broken already.
     pub async fn new(stream: TcpStream) -> io::Result<Self> {
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // a break shows in the request that is out
         });
-        Ok(Connection { sender, task })
+        Ok(Origin { sender, task })
     }
+}
 
-    pub fn is_live(&self) -> bool {
+impl Connection for Origin {
+    fn is_live(&self) -> bool {
         !self.sender.is_closed()
     }
 
-    /// Sends one request and waits for its answer.
-    pub async fn ask(mut self, command: &Command, addr: SocketAddr) -> (Reply, Option<Self>) {
-        let Some(request) = request(command, addr) else { return (Reply::of(Outcome::Ignored), Some(self)) };
+    async fn ask(mut self, call: &Call, target: &Target, _: Duration) -> (Reply, Option<Self>) {
+        let Some(request) = request(call, target.addr) else {
+            return (Reply::of(Outcome::Ignored), Some(self));
+        };
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
@@ -64,15 +83,15 @@
     }
 }
 
-fn request(command: &Command, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
-    let method = if command.value.is_some() { Method::PUT } else { Method::GET };
+fn request(call: &Call, addr: SocketAddr) -> Option<Request<Full<Bytes>>> {
+    let method = if call.is_write() { Method::PUT } else { Method::GET };
     Request::builder()
         .method(method)
-        .uri(format!("/{}", command.path_key()))
+        .uri(format!("/{}", percent_encode(call.key.as_bytes(), ESCAPED)))
         .header(HOST, addr.to_string())
-        .header("X-Correlation-Id", &command.id[..])
-        .header("X-Facts", &command.facts[..])
-        .body(Full::new(command.value.clone().unwrap_or_default()))
+        .header("X-Correlation-Id", &call.id[..])
+        .header("X-Facts", &call.facts[..])
+        .body(Full::new(call.value.clone().unwrap_or_default()))
         .ok()
 }
 
--- a/src/node/caches.rs
+++ b/crates/upstreams/src/resp.rs
@@ -2,41 +2,44 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use paddlefold::Outcome;
-use redis_protocol::resp2::types::BytesFrame;
+use bytes::BytesMut;
+use lilacquay_codec::resp::{Frame, Malformed, next_frame, put_array, put_bulk};
+use lilacquay_core::{Call, Connection, Outcome, Reply, Target, VALUE_LIMIT};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::attempt::Reply;
-use super::clients::VALUE_LIMIT;
-use super::resp::{Malformed, next_frame};
-
 /// A value of 64 KiB and what stands round it.
 const LARGEST: usize = 66 << 10;
 
-/// A connection between requests.
-pub struct Connection(TcpStream);
+/// Room for a command's name and headers.
+const HEADERS: usize = 64;
+
+/// A connection to a cache, between requests.
+pub struct Cache(TcpStream);
 
-impl Connection {
+impl Cache {
+    /// Speaks RESP2 on a connection that is up.
     pub fn new(stream: TcpStream) -> Self {
-        Connection(stream)
+        Cache(stream)
     }
+}
 
+impl Connection for Cache {
     /// Asks the kernel itself: what the runtime has seen of the peer's close may be a moment old.
-    pub fn is_live(&self) -> bool {
+    fn is_live(&self) -> bool {
         nothing_has_come(&self.0)
     }
 
-    /// Sends one request and waits for its answer.
-    pub async fn ask(mut self, request: Bytes) -> (Reply, Option<Self>) {
+    async fn ask(mut self, call: &Call, _: &Target, wait: Duration) -> (Reply, Option<Self>) {
+        let mut buffer = command(call, wait);
         // Broken before the last byte was written: it never ran. After that it may have.
-        if self.0.write_all(&request).await.is_err() {
+        if self.0.write_all(&buffer).await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
-        let mut buffer = BytesMut::new();
+        buffer.clear();
         loop {
             match next_frame(&mut buffer, LARGEST) {
                 Ok(Some(frame)) => {
@@ -55,21 +58,41 @@
     }
 }
 
+/// The command for a cache: as it came, but for how long the node will wait.
+fn command(call: &Call, wait: Duration) -> BytesMut {
+    let name: &[u8] = if call.is_write() { b"CACHE.SET" } else { b"CACHE.GET" };
+    let wait = format!("d={}", wait.as_millis().max(1));
+    let facts = call.facts.split(|&b| b == b',').map(|fact| match fact.starts_with(b"d=") {
+        true => wait.as_bytes(),
+        false => fact,
+    });
+    let facts = facts.collect::<Vec<_>>().join(&b","[..]);
+    let mut text = BytesMut::with_capacity(HEADERS + call.key.len() + call.id.len() + facts.len());
+    put_array(&mut text, if call.is_write() { 5 } else { 4 });
+    for part in [name, call.key.as_bytes(), &call.id, &facts] {
+        put_bulk(&mut text, part);
+    }
+    if let Some(value) = &call.value {
+        put_bulk(&mut text, value);
+    }
+    text
+}
+
 /// Whether the peer has neither sent anything nor closed.
-pub fn nothing_has_come(stream: &TcpStream) -> bool {
+fn nothing_has_come(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
     SockRef::from(stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
 /// What an answer means. Whatever the protocol has no word for may have run.
-fn reply(frame: BytesFrame) -> Result<Reply, Malformed> {
+fn reply(frame: Frame) -> Result<Reply, Malformed> {
     match frame {
         // Guards against: spoilt answers that look like one. The load report is not read, and may be anything.
-        BytesFrame::Array(parts) => {
+        Frame::Array(parts) => {
             let [value, note, _report] = <[_; 3]>::try_from(parts).map_err(|_| Malformed)?;
             let hit = match note {
-                BytesFrame::Null => None,
-                BytesFrame::BulkString(word) => match &word[..] {
+                Frame::Null => None,
+                Frame::BulkString(word) => match &word[..] {
                     b"hit" => Some(true),
                     b"miss" | b"pending" => Some(false),
                     _ => return Err(Malformed),
@@ -77,14 +100,14 @@
                 _ => return Err(Malformed),
             };
             match value {
-                BytesFrame::BulkString(value) if value.len() <= VALUE_LIMIT => {
+                Frame::BulkString(value) if value.len() <= VALUE_LIMIT => {
                     Ok(Reply { outcome: Outcome::Ok, value, hit })
                 }
-                BytesFrame::Null => Ok(Reply { hit, ..Reply::of(Outcome::Miss) }),
+                Frame::Null => Ok(Reply { hit, ..Reply::of(Outcome::Miss) }),
                 _ => Err(Malformed),
             }
         }
-        BytesFrame::Error(text) => match text.split(' ').next() {
+        Frame::Error(text) => match text.split(' ').next() {
             Some("BUSY") => Ok(Reply::of(Outcome::QueueFull)),
             _ => Ok(Reply::of(Outcome::Failed)),
         },
