Cap a client's wait where calls are made, whichever front reads it

Change: the wait is private to the call and capped at an hour when it is made; the driver bounds the timers of attempts too. A test sends such waits.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -23,8 +23,8 @@
     pub class: Option<usize>,
     /// The tenant, an index into the settings' tenants.
     pub tenant: Option<usize>,
-    /// How long the client will wait, from when the request's last byte was read.
-    pub wait: Micros,
+    /// How long the client will wait, from when the request's last byte was read. No longer than an hour.
+    wait: Micros,
     /// By which servers know a keyed write's repeats.
     pub idempotency: Option<Bytes>,
     /// What a write stores; none makes it a read.
@@ -57,6 +57,12 @@
         Ok(Call { key, id, class: None, tenant: None, wait, idempotency: None, value, facts })
     }
 
+    /// How long the client will wait, from when the request's last byte was read, in microseconds; an hour at
+    /// most, whatever it says.
+    pub fn wait(&self) -> Micros {
+        self.wait
+    }
+
     /// Whether it changes something.
     pub fn is_write(&self) -> bool {
         self.value.is_some()
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -246,7 +246,7 @@
             class: call.class,
             tenant: call.tenant,
             key: Some(call.key.clone()),
-            budget: call.wait.saturating_sub(spent),
+            budget: call.wait().saturating_sub(spent),
             write: call.is_write(),
         };
         let open = Open { call: Arc::new(call), answer: Some(answer), attempts: Vec::new() };
@@ -295,7 +295,7 @@
             open.attempts.push(None);
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
-        let timer = self.timers.insert(Due::Attempt(id, attempt), wait);
+        let timer = self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER));
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.attempts.push(Some(Running { sent: now, task, timer }));
--- a/crates/fronts/src/resp.rs
+++ b/crates/fronts/src/resp.rs
@@ -36,14 +36,14 @@
         let key = str::from_utf8(key).map_err(|_| CommandError::Arguments)?;
         // Copied, so that they don't hold on to the whole of what was read with them.
         let (key, [id, facts]) = (key.to_owned(), [id, facts].map(|text| Bytes::copy_from_slice(text)));
-        let mut call = Call::new(key, id, facts, value, 0)?;
-        self.read_facts(&mut call)?;
+        let wait = fact(&facts, "d").and_then(wait).ok_or(CommandError::Wait)?;
+        let mut call = Call::new(key, id, facts, value, wait)?;
+        self.read_names(&mut call)?;
         Ok(Input::Call(Box::new(call), ()))
     }
 
-    fn read_facts(&self, call: &mut Call) -> Result<(), CommandError> {
+    fn read_names(&self, call: &mut Call) -> Result<(), CommandError> {
         let facts = call.facts.clone();
-        call.wait = fact(&facts, "d").and_then(wait).ok_or(CommandError::Wait)?;
         // Guards against: requests that name a class which the settings lack, sent on to servers that turn
         // them away. One that names none is served.
         if let Some(class) = fact(&facts, "c") {
--- a/crates/lilacquay/tests/node.rs
+++ b/crates/lilacquay/tests/node.rs
@@ -522,6 +522,20 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
 }
 
+#[test]
+fn a_wait_of_more_years_than_a_timer_holds_is_an_hour() {
+    let s = stage(1);
+    let mut client = s.node.client();
+    for wait in ["1e300", "18446744073709551615", "400000000000000"] {
+        client.get("k", &format!("c=read,d={wait}"));
+        let call = s.caches[0].call();
+        assert!(call.words[3].strip_prefix("c=read,d=").unwrap().parse::<u64>().unwrap() <= 3_600_000);
+        call.value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+        client.rest();
+    }
+}
+
 #[test]
 fn an_id_that_is_open_elsewhere_is_an_error_until_its_request_is_answered() {
     let s = stage(1);
