Add a stand-in fleet that takes faults and records what comes to it

Need: nobody outside could start the node, and the four rules were checked only by fakes that a test scripts byte by byte.

Change: a package with cache boxes (cores, slots, a bounded store, a cold start and a fall), the origin, discovery and open-loop clients, on a thread of their own; faults by call or script; a verdict on the four rules from the records of servers and clients, which grants what may have been seen late.

--- /dev/null
+++ b/crates/fleet/src/cache.rs
@@ -0,0 +1,351 @@
+//! A cache box: RESP2, as PROTOCOL words it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::{BufMut, BytesMut};
+use lilacquay_codec::resp::{Frame, next_frame, put_array, put_bulk, put_error, put_simple};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Micros;
+use crate::fault::Faults;
+use crate::origin::Missed;
+use crate::record::{Asked, Event, Log};
+use crate::store::{Cold, Store, Warmth};
+
+/// The longest command that a box reads.
+const LONGEST: usize = 128 << 10;
+
+/// What a box is.
+#[derive(Debug, Clone)]
+pub struct BoxPlan {
+    /// Requests that it works on at once.
+    pub cores: usize,
+    /// Requests that wait for a core; those beyond are turned away.
+    pub slots: usize,
+    /// The work of a read that finds its key, in the time of one core.
+    pub work: Duration,
+    /// The work of one that does not.
+    pub miss_work: Duration,
+    /// Bytes that it keeps.
+    pub memory: usize,
+    /// What it can take while it is cold.
+    pub cold: Cold,
+}
+
+/// A running box.
+pub struct CacheBox {
+    pub(crate) inner: Arc<Inner>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+pub(crate) struct Inner {
+    name: Arc<str>,
+    plan: BoxPlan,
+    log: Log,
+    missed: Missed,
+    faults: watch::Sender<Faults>,
+    store: Mutex<Store>,
+    warmth: Mutex<Warmth>,
+    rng: Mutex<fastrand::Rng>,
+    cores: Semaphore,
+    waiting: AtomicUsize,
+    /// Set once it is gone, or has fallen over.
+    ended: CancellationToken,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Why a connection of a box ends.
+enum End {
+    Closed,
+    Reset,
+}
+
+impl From<io::Error> for End {
+    fn from(_: io::Error) -> Self {
+        End::Closed
+    }
+}
+
+impl CacheBox {
+    /// Starts a box; `cold` makes it one that has started just now. It ends when it is dropped.
+    pub(crate) async fn start(
+        name: &str,
+        at: SocketAddr,
+        plan: BoxPlan,
+        cold: bool,
+        seed: u64,
+        log: Log,
+        missed: Missed,
+    ) -> io::Result<CacheBox> {
+        let listener = TcpListener::bind(at).await?;
+        let addr = listener.local_addr()?;
+        let started = cold.then(|| log.clock().now());
+        let inner = Arc::new(Inner {
+            name: name.into(),
+            store: Mutex::new(Store::new(plan.memory)),
+            warmth: Mutex::new(Warmth::new(plan.cold.clone(), plan.cores, started)),
+            rng: Mutex::new(fastrand::Rng::with_seed(seed)),
+            cores: Semaphore::new(plan.cores),
+            waiting: AtomicUsize::new(0),
+            faults: watch::Sender::new(Faults::default()),
+            ended: CancellationToken::new(),
+            plan,
+            log,
+            missed,
+        });
+        tokio::spawn(inner.clone().accept(listener, addr));
+        Ok(CacheBox { inner, addr })
+    }
+
+    /// Its faults from now on.
+    pub fn set_faults(&self, faults: Faults) {
+        self.inner.faults.send_replace(faults);
+    }
+}
+
+impl Drop for CacheBox {
+    fn drop(&mut self) {
+        self.inner.ended.cancel();
+    }
+}
+
+impl Inner {
+    /// Keeps a key in that version.
+    pub fn keep(&self, key: &str, version: u64) {
+        lock(&self.store).put(key, version);
+    }
+
+    /// Forgets a key.
+    pub fn forget(&self, key: &str) {
+        lock(&self.store).forget(key);
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, addr: SocketAddr) {
+        let (mut listener, mut faults) = (Some(listener), self.faults.subscribe());
+        loop {
+            let refuse = faults.borrow_and_update().refuse;
+            if refuse {
+                listener = None; // what connects now is refused
+            } else if listener.is_none() {
+                listener = TcpListener::bind(addr).await.ok();
+            }
+            tokio::select! {
+                () = self.ended.cancelled() => return,
+                _ = faults.changed() => {}
+                () = sleep(Duration::from_millis(5)), if listener.is_none() && !refuse => {} // tried again
+                accepted = accept_on(listener.as_ref()) => if let Ok(stream) = accepted {
+                    tokio::spawn(self.clone().attend(stream));
+                },
+            }
+        }
+    }
+
+    async fn attend(self: Arc<Self>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let end = tokio::select! {
+            () = self.ended.cancelled() => End::Reset,
+            Err(end) = self.serve(&mut stream) => end,
+        };
+        if matches!(end, End::Reset) {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    async fn serve(&self, stream: &mut TcpStream) -> Result<(), End> {
+        let mut buffer = BytesMut::new();
+        loop {
+            let mut begun = !buffer.is_empty();
+            let frame = loop {
+                match next_frame(&mut buffer, LONGEST) {
+                    Ok(Some(frame)) => break frame,
+                    Ok(None) => {}
+                    Err(_) => {
+                        self.note(Event::Syntax("not RESP2".into()));
+                        return Err(End::Closed);
+                    }
+                }
+                if stream.read_buf(&mut buffer).await? == 0 {
+                    return Err(End::Closed);
+                }
+                if !begun {
+                    begun = true;
+                    self.note(Event::FirstByte);
+                    if self.happens(|faults| faults.reset_before) {
+                        return Err(End::Reset);
+                    }
+                }
+            };
+            let answer = match words(frame) {
+                Some(words) => self.command(&words, stream, &mut buffer).await?,
+                None => error("ERR words wanted"),
+            };
+            stream.write_all(&answer).await?;
+        }
+    }
+
+    async fn command(
+        &self,
+        words: &[String],
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+    ) -> Result<BytesMut, End> {
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let asked = match words[..] {
+            ["CACHE.GET", key, id, facts] if facts.contains("d=") => Asked::new(key, id, facts, false),
+            ["CACHE.SET", key, id, facts, _] if facts.contains("d=") => Asked::new(key, id, facts, true),
+            ["PING"] => return Ok(line(|out| put_simple(out, "PONG"))),
+            ["CLIENT" | "SELECT", ..] => return Ok(line(|out| put_simple(out, "OK"))),
+            ["CACHE.GET" | "CACHE.SET", ..] => {
+                self.note(Event::Syntax(words.join(" ")));
+                return Ok(error("SYNTAX"));
+            }
+            _ => return Ok(error("ERR unknown command")),
+        };
+        self.note(Event::Asked(asked.clone()));
+        tokio::select! {
+            answer = self.work(&asked) => answer,
+            // Work stops when its request is cancelled: the connection closes.
+            read = stream.read_buf(buffer) => match read? {
+                0 => Err(End::Closed),
+                _ => Err(End::Reset), // one request at a time is all that a node sends
+            },
+        }
+    }
+
+    /// Carries a request out and words the answer.
+    async fn work(&self, asked: &Asked) -> Result<BytesMut, End> {
+        if self.happens(|faults| faults.swallow) {
+            std::future::pending::<()>().await;
+        }
+        let found = lock(&self.store).get(&asked.key);
+        let work = if found.is_some() { self.plan.work } else { self.plan.miss_work };
+        self.load(work)?;
+        if self.cores.available_permits() == 0 && self.waiting.load(Ordering::Relaxed) >= self.plan.slots {
+            return Ok(error("BUSY"));
+        }
+        let waits = Waits::new(&self.waiting);
+        let _core = self.cores.acquire().await.map_err(|_| End::Closed)?;
+        drop(waits);
+        let mut faults = self.faults.subscribe();
+        let slow = faults.borrow().slow / lock(&self.warmth).share(self.log.clock().now());
+        if work > Duration::ZERO {
+            sleep(work.mul_f64(slow)).await;
+        }
+        let _ = faults.wait_for(|faults| !faults.stalled).await;
+        let Some(version) = found else {
+            self.missed.note(&asked.id, self.name.clone());
+            return Ok(answer(None));
+        };
+        self.note(Event::Ran(asked.clone()));
+        if self.happens(|faults| faults.reset_after) {
+            return Err(End::Reset);
+        }
+        if self.happens(|faults| faults.fail) {
+            return Ok(error("ERR failed"));
+        }
+        if self.happens(|faults| faults.spoil) {
+            return Ok(lock(&self.rng).choice(SPOILT).map_or_else(BytesMut::new, |text| text[..].into()));
+        }
+        Ok(answer(Some(&value(&asked.id, &asked.key, version))))
+    }
+
+    /// Notes work that is sent here, begun or not; the last straw ends the box.
+    fn load(&self, work: Duration) -> Result<(), End> {
+        let work = work.as_micros() as Micros;
+        if lock(&self.warmth).push(self.log.clock().now(), work) {
+            self.note(Event::PushedOver);
+            self.ended.cancel();
+            return Err(End::Reset);
+        }
+        Ok(())
+    }
+
+    fn happens(&self, share: impl Fn(&Faults) -> f64) -> bool {
+        let share = share(&self.faults.borrow());
+        share > 0.0 && lock(&self.rng).f64() < share
+    }
+
+    fn note(&self, event: Event) {
+        self.log.note(&self.name, event);
+    }
+}
+
+/// Counts one that waits for a core, until it is dropped.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl<'a> Waits<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Waits(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn accept_on(listener: Option<&TcpListener>) -> io::Result<TcpStream> {
+    match listener {
+        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
+        None => std::future::pending().await,
+    }
+}
+
+/// Answers that can't be read: noise, a length that doesn't fit, one too large, a line without end.
+const SPOILT: &[&[u8]] = &[
+    b"\x00\xff\x13noise\r\n",
+    b"*3\r\n$5\r\nab\r\n$3\r\nhit\r\n$-1\r\n",
+    b"*3\r\n$3000000000\r\nab",
+    b"+never ending ",
+];
+
+/// The value that a server makes for one request: it names the request's id, so that a client knows its own.
+pub fn value(id: &str, key: &str, version: u64) -> String {
+    format!("{id} {key} v{version}")
+}
+
+fn words(frame: Frame) -> Option<Vec<String>> {
+    let Frame::Array(parts) = frame else { return None };
+    let word = |part| match part {
+        Frame::BulkString(text) => Some(String::from_utf8_lossy(&text).into_owned()),
+        _ => None,
+    };
+    parts.into_iter().map(word).collect()
+}
+
+fn answer(value: Option<&str>) -> BytesMut {
+    line(|out| {
+        put_array(out, 3);
+        match value {
+            Some(value) => put_bulk(out, value.as_bytes()),
+            None => out.put_slice(b"$-1\r\n"),
+        }
+        put_bulk(out, if value.is_some() { b"hit" } else { b"miss" });
+        out.put_slice(b"$-1\r\n");
+    })
+}
+
+fn error(text: &str) -> BytesMut {
+    line(|out| put_error(out, format_args!("{text}")))
+}
+
+fn line(put: impl FnOnce(&mut BytesMut)) -> BytesMut {
+    let mut out = BytesMut::new();
+    put(&mut out);
+    out
+}
--- /dev/null
+++ b/crates/fleet/src/clients.rs
@@ -0,0 +1,459 @@
+//! Clients: an open loop, so that what waits is not hidden by a generator that waits with it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use hdrhistogram::Histogram;
+use lilacquay_codec::resp::{Frame, next_frame, put_array, put_bulk};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::cache::value;
+use crate::clock::{Clock, Micros};
+
+/// The longest answer that a client reads.
+const LONGEST: usize = 128 << 10;
+/// How long after a request's time is up its answer is still waited for, to be called late.
+const AFTERWARDS: Duration = Duration::from_secs(1);
+/// Answers that come unasked are waited for so long at the end.
+const LAST_LOOK: Duration = Duration::from_millis(100);
+
+/// A class of requests.
+#[derive(Debug, Clone)]
+pub struct Class {
+    /// Its name in the settings.
+    pub name: String,
+    /// Its part of all requests, in comparison with the other classes.
+    pub share: f64,
+    /// What it does.
+    pub kind: Kind,
+    /// How long a client waits.
+    pub wait: Duration,
+}
+
+/// What the requests of a class do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Read.
+    Read,
+    /// Write, with an idempotency key.
+    Keyed,
+    /// Write, without one.
+    Unsafe,
+}
+
+/// A load.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The node.
+    pub to: SocketAddr,
+    /// Requests a second, on average; they come at random.
+    pub rate: f64,
+    /// For so long.
+    pub time: Duration,
+    /// For all random choices, and part of each request's id.
+    pub seed: u64,
+    /// How many keys there are.
+    pub keys: usize,
+    /// How unevenly they are asked for: the exponent of a Zipf distribution, 0 for all alike.
+    pub skew: f64,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// Whether each request is kept in the report.
+    pub kept: bool,
+}
+
+impl Load {
+    /// The usual mix of a fleet's classes, of 1000 keys, at 300 requests a second.
+    pub fn usual(to: SocketAddr, time: Duration, seed: u64) -> Self {
+        let class = |name: &str, share, kind, wait| {
+            let (name, wait) = (name.to_owned(), Duration::from_millis(wait));
+            Class { name, share, kind, wait }
+        };
+        let classes = vec![
+            class("lookup", 0.94, Kind::Read, 1000),
+            class("signup", 0.05, Kind::Keyed, 2000),
+            class("post", 0.01, Kind::Unsafe, 2000),
+        ];
+        Load { to, rate: 300.0, time, seed, keys: 1000, skew: 0.9, classes, kept: false }
+    }
+}
+
+/// How a request ended at its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With the value made for it.
+    Served,
+    /// With another value.
+    Foreign,
+    /// With `-BUSY`.
+    Refused,
+    /// With another error.
+    Failed,
+    /// With a close and no answer.
+    Lost,
+    /// With nothing, long after its time.
+    Unanswered,
+    /// The node could not be reached.
+    Unreached,
+}
+
+/// A request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its id.
+    pub id: String,
+    /// Its class: a place in [`Load::classes`].
+    pub class: usize,
+    /// What it does.
+    pub kind: Kind,
+    /// When it was written.
+    pub sent: Micros,
+    /// How long its client waits from then.
+    pub wait: Micros,
+    /// When its answer was read whole.
+    pub ended: Micros,
+    /// How late that may have been seen.
+    pub late: Micros,
+    /// How it ended.
+    pub end: End,
+}
+
+/// What came of one class.
+#[derive(Debug, Clone)]
+pub struct ClassReport {
+    /// Its name.
+    pub name: String,
+    /// From when a request was due to its answer, of those served, in microseconds.
+    pub served: Histogram<u64>,
+    /// How many ended so.
+    pub refused: u64,
+    /// How many ended so.
+    pub failed: u64,
+    /// Without an answer, or with one that was late or not its own.
+    pub broken: u64,
+    /// The node could not be reached.
+    pub unreached: u64,
+}
+
+/// What came of a load.
+#[derive(Debug, Clone)]
+pub struct Report {
+    /// By class, in the order of the load's.
+    pub classes: Vec<ClassReport>,
+    /// Answers, or parts, that nobody had asked for.
+    pub doubled: u64,
+    /// The most that a request was sent later than it was due, in microseconds: over some milliseconds, the load
+    /// itself was too slow.
+    pub lag: Micros,
+    /// All requests, if they are kept.
+    pub asks: Vec<Ask>,
+}
+
+impl Report {
+    /// The times of all classes together.
+    pub fn served(&self) -> Histogram<u64> {
+        let mut all = times();
+        self.classes.iter().for_each(|class| _ = all.add(&class.served));
+        all
+    }
+
+    /// How many requests got no good answer in time, or more than one.
+    pub fn broken(&self) -> u64 {
+        self.doubled + self.classes.iter().map(|class| class.broken).sum::<u64>()
+    }
+}
+
+fn times() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are in order")
+}
+
+/// How far a load is.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Requests begun.
+    pub asked: AtomicU64,
+    /// Served.
+    pub served: AtomicU64,
+    /// Refused or failed.
+    pub turned_away: AtomicU64,
+    /// Broken rules.
+    pub broken: AtomicU64,
+}
+
+/// A connection to the node, and whether it has been used.
+struct Link {
+    stream: TcpStream,
+    used: bool,
+}
+
+struct Shared {
+    load: Load,
+    clock: Clock,
+    idle: Mutex<Vec<TcpStream>>,
+    /// The cumulated shares of the keys.
+    keys: Vec<f64>,
+    doubled: AtomicU64,
+    lag: AtomicU64,
+    next: AtomicUsize,
+    progress: Arc<Progress>,
+}
+
+/// Runs a load to its end, on the clock of the fleet that is to be compared with it.
+pub async fn run(load: Load, clock: Clock, progress: Arc<Progress>) -> Report {
+    let shared = Arc::new(Shared {
+        keys: zipf(load.keys, load.skew),
+        clock,
+        idle: Mutex::default(),
+        doubled: AtomicU64::new(0),
+        lag: AtomicU64::new(0),
+        next: AtomicUsize::new(0),
+        progress,
+        load,
+    });
+    let mut report = Report {
+        classes: shared.load.classes.iter().map(|class| ClassReport::new(&class.name)).collect(),
+        doubled: 0,
+        lag: 0,
+        asks: Vec::new(),
+    };
+    let mut tasks = JoinSet::new();
+    let mut rng = fastrand::Rng::with_seed(shared.load.seed);
+    let start = Instant::now();
+    let mut due = start;
+    loop {
+        due += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / shared.load.rate.max(1e-3));
+        if due > start + shared.load.time {
+            break;
+        }
+        sleep_until(due.into()).await;
+        let (shared_, choice, pick) = (shared.clone(), rng.f64(), rng.f64());
+        tasks.spawn(async move { shared_.ask(due, choice, pick).await });
+        while let Some(Ok((ask, took))) = tasks.try_join_next() {
+            shared.note(ask, took, &mut report);
+        }
+    }
+    while let Some(Ok((ask, took))) = tasks.join_next().await {
+        shared.note(ask, took, &mut report);
+    }
+    sleep(LAST_LOOK).await;
+    let idle = std::mem::take(&mut *shared.idle());
+    let unasked = idle.iter().filter(|stream| has_more(stream)).count() as u64;
+    report.doubled = unasked + shared.doubled.load(Ordering::Relaxed);
+    report.lag = shared.lag.load(Ordering::Relaxed);
+    report
+}
+
+impl ClassReport {
+    fn new(name: &str) -> Self {
+        let name = name.to_owned();
+        ClassReport { name, served: times(), refused: 0, failed: 0, broken: 0, unreached: 0 }
+    }
+}
+
+impl Ask {
+    /// Whether it got its answer so long after its time was up, beyond what may have been seen late.
+    pub fn is_late(&self, slack: Micros) -> bool {
+        self.ended > self.sent + self.wait + slack + self.late
+    }
+}
+
+/// What sockets allow beyond a time limit.
+pub const SLACK: Micros = 50_000;
+
+impl Shared {
+    fn idle(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn note(&self, ask: Ask, took: Duration, report: &mut Report) {
+        let class = &mut report.classes[ask.class];
+        let broken = match ask.end {
+            End::Lost | End::Unanswered | End::Foreign => true,
+            End::Unreached => false,
+            End::Served | End::Refused | End::Failed => ask.is_late(SLACK),
+        };
+        class.broken += u64::from(broken);
+        let count = match ask.end {
+            End::Served => {
+                class.served.saturating_record(took.as_micros() as u64);
+                Some(&self.progress.served)
+            }
+            End::Refused => {
+                class.refused += 1;
+                Some(&self.progress.turned_away)
+            }
+            End::Failed => {
+                class.failed += 1;
+                Some(&self.progress.turned_away)
+            }
+            End::Unreached => {
+                class.unreached += 1;
+                None
+            }
+            End::Foreign | End::Lost | End::Unanswered => None,
+        };
+        count.into_iter().for_each(|count| _ = count.fetch_add(1, Ordering::Relaxed));
+        self.progress.broken.fetch_add(u64::from(broken), Ordering::Relaxed);
+        if self.load.kept {
+            report.asks.push(ask);
+        }
+    }
+
+    /// Asks once, for a class and a key chosen by two numbers from 0 to 1.
+    async fn ask(&self, due: Instant, choice: f64, pick: f64) -> (Ask, Duration) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        self.progress.asked.fetch_add(1, Ordering::Relaxed);
+        let class = self.class(choice);
+        let Class { name, kind, wait, .. } = &self.load.classes[class];
+        let key =
+            format!("{:016x}", self.keys.partition_point(|&share| share < pick).min(self.keys.len() - 1));
+        let id = format!("{:08x}{number:08x}", self.load.seed as u32);
+        let idempotency = if *kind == Kind::Keyed { format!(",k={id}") } else { String::new() };
+        let facts = format!("c={name},d={}{idempotency}", wait.as_millis());
+        let text = command(&key, &id, &facts, *kind != Kind::Read);
+        let mut sent = Instant::now();
+        let mut end = End::Unreached;
+        // A connection that the node closed between requests is no loss: once more on a new one.
+        for _ in 0..2 {
+            let Ok(Link { mut stream, used }) = self.connect().await else { break };
+            sent = Instant::now();
+            self.lag.fetch_max((sent - due).as_micros() as Micros, Ordering::Relaxed);
+            let answer = timeout(*wait + AFTERWARDS, exchange(&mut stream, &text)).await;
+            end = match answer {
+                Ok(Ok(Some(frame))) => {
+                    self.idle().push(stream);
+                    judge(&frame, &id, &key)
+                }
+                Ok(Ok(None) | Err(_)) if used => {
+                    end = End::Lost;
+                    continue;
+                }
+                Ok(Ok(None) | Err(_)) => End::Lost,
+                Err(_) => End::Unanswered,
+            };
+            break;
+        }
+        let (ended, wait) = (self.clock.now(), wait.as_micros() as Micros);
+        let (sent, late) = (self.clock.at(sent), self.clock.late());
+        (Ask { id, class, kind: *kind, sent, wait, ended, late, end }, due.elapsed())
+    }
+
+    fn class(&self, choice: f64) -> usize {
+        let all: f64 = self.load.classes.iter().map(|class| class.share).sum();
+        let mut left = choice * all;
+        let chosen = self.load.classes.iter().position(|class| {
+            left -= class.share;
+            left < 0.0
+        });
+        chosen.unwrap_or(0)
+    }
+
+    /// An idle connection, or a new one.
+    async fn connect(&self) -> io::Result<Link> {
+        loop {
+            let Some(stream) = self.idle().pop() else { break };
+            if !has_more(&stream) {
+                return Ok(Link { stream, used: true });
+            }
+            if !has_ended(&stream) {
+                self.doubled.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        let stream = TcpStream::connect(self.load.to).await?;
+        stream.set_nodelay(true)?;
+        Ok(Link { stream, used: false })
+    }
+}
+
+/// Whether something waits to be read: bytes, or the end.
+fn has_more(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+fn has_ended(stream: &TcpStream) -> bool {
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    !matches!(socket2::SockRef::from(stream).peek(&mut byte), Ok(1))
+}
+
+/// Writes a command and reads its answer; none if the connection ends before it has begun.
+async fn exchange(stream: &mut TcpStream, text: &[u8]) -> io::Result<Option<Frame>> {
+    stream.write_all(text).await?;
+    let mut buffer = BytesMut::new();
+    loop {
+        match next_frame(&mut buffer, LONGEST) {
+            Ok(Some(frame)) if buffer.is_empty() => return Ok(Some(frame)),
+            Ok(Some(_)) | Err(_) => return Err(io::Error::other("more than an answer")),
+            Ok(None) => {}
+        }
+        if stream.read_buf(&mut buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+fn judge(frame: &Frame, id: &str, key: &str) -> End {
+    match frame {
+        // A value, or a write's receipt: either names the request.
+        Frame::BulkString(text) if text.starts_with(value(id, key, 0).trim_end_matches('0').as_bytes()) => {
+            End::Served
+        }
+        Frame::BulkString(_) => End::Foreign,
+        Frame::Error(text) if text.starts_with("BUSY") => End::Refused,
+        _ => End::Failed,
+    }
+}
+
+fn command(key: &str, id: &str, facts: &str, write: bool) -> BytesMut {
+    let mut text = BytesMut::new();
+    put_array(&mut text, if write { 5 } else { 4 });
+    for part in [if write { "CACHE.SET" } else { "CACHE.GET" }, key, id, facts] {
+        put_bulk(&mut text, part.as_bytes());
+    }
+    if write {
+        put_bulk(&mut text, b"tuesday");
+    }
+    text
+}
+
+/// The cumulated shares of keys whose popularity falls with a power of their rank.
+fn zipf(keys: usize, skew: f64) -> Vec<f64> {
+    let mut sum = 0.0;
+    let weights = (1..=keys.max(1)).map(|rank| {
+        sum += (rank as f64).powf(-skew);
+        sum
+    });
+    let weights: Vec<f64> = weights.collect();
+    weights.iter().map(|weight| weight / sum).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn keys_are_asked_for_by_a_power_of_their_rank() {
+        let even = zipf(4, 0.0);
+        assert_eq!(even, [0.25, 0.5, 0.75, 1.0]);
+        let skewed = zipf(3, 1.0);
+        let first = 1.0 / (1.0 + 0.5 + 1.0 / 3.0);
+        assert!((skewed[0] - first).abs() < 1e-9 && skewed[2] == 1.0);
+    }
+
+    #[test]
+    fn only_a_value_made_for_the_request_serves_it() {
+        let bulk = |text: &str| Frame::BulkString(text.to_owned().into());
+        assert_eq!(judge(&bulk(&value("i1", "k", 7)), "i1", "k"), End::Served);
+        assert_eq!(judge(&bulk(&value("i2", "k", 7)), "i1", "k"), End::Foreign);
+        assert_eq!(judge(&Frame::Error("BUSY 5".into()), "i1", "k"), End::Refused);
+        assert_eq!(judge(&Frame::Error("ERR failed".into()), "i1", "k"), End::Failed);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/discovery.rs
@@ -0,0 +1,197 @@
+//! Discovery: the list of servers and the watch on it, over HTTP/1.1.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::origin::text;
+use crate::record::{Event, Log, Told};
+
+/// A watch that knows less than so many versions ago gets the whole list.
+const REMEMBERED: u64 = 1000;
+
+/// A server as discovery lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its name.
+    pub id: Arc<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind; the origin's is `origin`.
+    pub kind: String,
+    /// Its state.
+    pub state: Told,
+    /// When it started, Unix time in milliseconds; 0 is long ago.
+    pub started_ms: u64,
+    /// The version in which it changed last; set when it is put.
+    pub version: u64,
+}
+
+impl Listed {
+    /// A server in service in zone `a` since long ago.
+    pub fn new(id: &str, addr: SocketAddr, kind: &str) -> Self {
+        let (zone, kind) = ("a".into(), kind.into());
+        Listed { id: id.into(), addr, zone, kind, state: Told::Serving, started_ms: 0, version: 0 }
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let state = match self.state {
+            Told::Serving => "SERVING",
+            Told::Draining => "DRAINING",
+            Told::Deleted => "DELETED",
+        };
+        json!({"id": &*self.id, "addr": self.addr.to_string(), "zone": self.zone, "kind": self.kind, "cell": 0,
+               "state": state, "weight": 1.0, "started_ms": self.started_ms})
+    }
+}
+
+/// The list at one version. Servers that are gone stay in it as `Deleted`, for the watches.
+#[derive(Debug, Clone, Default)]
+struct Listing {
+    version: u64,
+    servers: Vec<Listed>,
+    down: bool,
+}
+
+/// A running discovery.
+pub struct Discovery {
+    inner: Arc<Inner>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+struct Inner {
+    listing: watch::Sender<Listing>,
+    log: Log,
+    /// News reaches nodes so much later.
+    delay: Duration,
+    ended: CancellationToken,
+}
+
+impl Discovery {
+    pub(crate) async fn start(delay: Duration, log: Log) -> io::Result<Discovery> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = listener.local_addr()?;
+        let ended = CancellationToken::new();
+        let inner = Arc::new(Inner { listing: watch::Sender::default(), log, delay, ended });
+        tokio::spawn(inner.clone().accept(listener));
+        Ok(Discovery { inner, addr })
+    }
+
+    /// Lists a server, or changes its entry.
+    pub fn put(&self, mut server: Listed) {
+        self.inner.listing.send_modify(|listing| {
+            listing.version += 1;
+            server.version = listing.version;
+            listing.servers.retain(|other| other.id != server.id);
+            listing.servers.push(server);
+        });
+    }
+
+    /// Changes a server's state; nothing if it is not listed.
+    pub fn set_state(&self, id: &str, state: Told) {
+        let listed = self.inner.listing.borrow().servers.iter().find(|server| &*server.id == id).cloned();
+        if let Some(server) = listed {
+            self.put(Listed { state, ..server });
+        }
+    }
+
+    /// Whether it is down: watches end, and calls fail.
+    pub fn set_down(&self, down: bool) {
+        self.inner.listing.send_modify(|listing| listing.down = down);
+    }
+
+    /// The whole list as it is told, without what is gone.
+    pub fn whole(&self) -> String {
+        let listing = self.inner.listing.borrow();
+        self.inner.word(&listing, None)
+    }
+}
+
+impl Drop for Discovery {
+    fn drop(&mut self) {
+        self.inner.ended.cancel();
+    }
+}
+
+impl Inner {
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            tokio::select! {
+                () = self.ended.cancelled() => return,
+                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                    tokio::spawn(self.clone().attend(stream));
+                },
+            }
+        }
+    }
+
+    async fn attend(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request: Request<Incoming>| {
+            let inner = self.clone();
+            async move { Ok::<_, Infallible>(inner.answer(&request).await) }
+        });
+        let mut listing = self.listing.subscribe();
+        tokio::select! {
+            () = self.ended.cancelled() => {}
+            _ = listing.wait_for(|listing| listing.down) => {}
+            _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service) => {}
+        }
+    }
+
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() != "/discovery/hosts" {
+            return text(StatusCode::NOT_FOUND, String::new());
+        }
+        let query = request.uri().query().unwrap_or("");
+        let number = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|pair| pair.0 == name).and_then(|pair| pair.1.parse::<u64>().ok())
+        };
+        let (after, wait) = (number("after"), number("wait_ms").unwrap_or(0));
+        let mut listing = self.listing.subscribe();
+        if let Some(after) = after {
+            let newer = listing.wait_for(|listing| listing.version > after);
+            let _ = timeout(Duration::from_millis(wait), newer).await;
+            sleep(self.delay).await;
+        }
+        let listing = listing.borrow().clone();
+        if listing.down {
+            return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
+        }
+        let after = after.filter(|&after| after <= listing.version && after + REMEMBERED > listing.version);
+        for server in listing.servers.iter().filter(|server| after.is_none_or(|after| server.version > after))
+        {
+            self.log.note(&server.id, Event::Told(server.state));
+        }
+        text(StatusCode::OK, self.word(&listing, after))
+    }
+
+    /// What has changed after a version, or the whole list.
+    fn word(&self, listing: &Listing, after: Option<u64>) -> String {
+        let wanted = |server: &&Listed| match after {
+            Some(after) => server.version > after,
+            None => server.state != Told::Deleted,
+        };
+        let servers: Vec<_> = listing.servers.iter().filter(wanted).map(Listed::json).collect();
+        json!({"version": listing.version, "full": after.is_none(), "servers": servers}).to_string()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/site.rs
@@ -0,0 +1,268 @@
+//! A whole fleet on a thread of its own.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::mpsc as sync;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::cache::{BoxPlan, CacheBox};
+use crate::clock::Clock;
+use crate::discovery::{Discovery, Listed};
+use crate::origin::{Missed, Origin, OriginPlan};
+use crate::record::{Log, Record, Told};
+use crate::script::Step;
+use crate::settings;
+use crate::store::Cold;
+
+/// What a fleet is.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// For all its random choices.
+    pub seed: u64,
+    /// How many cache boxes there are, warm and named `box-0` and so on.
+    pub boxes: usize,
+    /// What each box is.
+    pub cache: BoxPlan,
+    /// What the origin, named `origin`, is.
+    pub origin: OriginPlan,
+    /// How much later than a change discovery tells it.
+    pub delay: Duration,
+    /// Whether what comes is recorded.
+    pub recorded: bool,
+}
+
+impl Default for Plan {
+    /// Six boxes of two cores; an origin that can take 400 fetches a second.
+    fn default() -> Self {
+        Plan {
+            seed: 1,
+            boxes: 6,
+            cache: BoxPlan {
+                cores: 2,
+                slots: 32,
+                work: Duration::from_millis(5),
+                miss_work: Duration::from_millis(1),
+                memory: 1 << 20,
+                cold: Cold { time: 5_000_000, from: 0.2, factor: 3.0, fall: 1_000_000 },
+            },
+            origin: OriginPlan {
+                at_once: 8,
+                slots: 64,
+                work: Duration::from_millis(20),
+                window: Duration::from_millis(2500),
+            },
+            delay: Duration::ZERO,
+            recorded: true,
+        }
+    }
+}
+
+type Order = Box<dyn FnOnce(&mut Servers) -> io::Result<()> + Send>;
+
+/// A running fleet. It ends when it is dropped.
+pub struct Fleet {
+    log: Log,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// Where the boxes listened at the start, in their order.
+    pub boxes: Vec<SocketAddr>,
+    /// Where the origin listens.
+    pub origin: SocketAddr,
+    known: String,
+    seed: u64,
+    cold: Cold,
+    orders: Option<mpsc::UnboundedSender<(Order, sync::Sender<io::Result<()>>)>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The servers, on their thread.
+struct Servers {
+    plan: Plan,
+    log: Log,
+    missed: Missed,
+    boxes: HashMap<String, CacheBox>,
+    origin: Origin,
+    discovery: Discovery,
+    started: u64,
+    /// What must wait for the network, with its order's answer.
+    later: Vec<(String, SocketAddr)>,
+}
+
+impl Fleet {
+    /// Starts a fleet; returns once all of it listens.
+    ///
+    /// # Errors
+    /// If a socket or the thread can't be had.
+    pub fn start(plan: Plan) -> io::Result<Fleet> {
+        let (ready, started) = sync::channel();
+        let (orders, inbox) = mpsc::unbounded_channel();
+        let (seed, cold) = (plan.seed, plan.cache.cold.clone());
+        let thread = std::thread::Builder::new().name("fleet".into()).spawn(move || {
+            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+                Ok(runtime) => runtime,
+                Err(error) => return drop(ready.send(Err(error))),
+            };
+            runtime.block_on(run(plan, ready, inbox));
+        })?;
+        let started = started.recv().map_err(io::Error::other)??;
+        let Started { log, discovery, boxes, origin, known } = started;
+        Ok(Fleet {
+            log,
+            discovery,
+            boxes,
+            origin,
+            known,
+            seed,
+            cold,
+            orders: Some(orders),
+            thread: Some(thread),
+        })
+    }
+
+    /// Does one step of a script now.
+    ///
+    /// # Errors
+    /// If a new box can't listen at its address, or a server of that name is not there.
+    pub fn step(&self, step: Step) -> io::Result<()> {
+        let (answer, done) = sync::channel();
+        let order: Order = Box::new(move |servers| servers.step(step));
+        let sent = self.orders.as_ref().is_some_and(|orders| orders.send((order, answer)).is_ok());
+        if !sent {
+            return Err(io::Error::other("the fleet has ended"));
+        }
+        done.recv().map_err(io::Error::other)?
+    }
+
+    /// All that came to it so far, and how many records there was no room for.
+    pub fn records(&self) -> (Vec<Record>, usize) {
+        self.log.records()
+    }
+
+    /// The clock of its records.
+    pub fn clock(&self) -> &Clock {
+        self.log.clock()
+    }
+
+    /// A node's configuration, as the platform words it, for this fleet.
+    pub fn configuration(&self, listen: SocketAddr, sockets: usize) -> String {
+        let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
+        json!({
+            "name": "n0", "listen": listen.to_string(), "discovery": self.discovery.to_string(),
+            "seed": format!("{:x}", self.seed), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": known, "settings": settings::settings(&self.cold),
+        })
+        .to_string()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.orders = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Started {
+    log: Log,
+    discovery: SocketAddr,
+    boxes: Vec<SocketAddr>,
+    origin: SocketAddr,
+    known: String,
+}
+
+async fn run(
+    plan: Plan,
+    ready: sync::Sender<io::Result<Started>>,
+    mut inbox: mpsc::UnboundedReceiver<(Order, sync::Sender<io::Result<()>>)>,
+) {
+    let log = Log::new(Clock::default(), plan.recorded);
+    tokio::spawn(log.clock().clone().metronome());
+    let mut servers = match Servers::start(plan, log.clone()).await {
+        Ok(servers) => servers,
+        Err(error) => return drop(ready.send(Err(error))),
+    };
+    let boxes = (0..servers.plan.boxes).map(|n| servers.boxes[&format!("box-{n}")].addr).collect();
+    let (discovery, origin) = (servers.discovery.addr, servers.origin.addr);
+    let known = servers.discovery.whole();
+    let _ = ready.send(Ok(Started { log, discovery, boxes, origin, known }));
+    while let Some((order, answer)) = inbox.recv().await {
+        let mut done = order(&mut servers);
+        for (name, addr) in std::mem::take(&mut servers.later) {
+            done = done.and(servers.enter(&name, addr, true).await);
+        }
+        let _ = answer.send(done);
+    }
+}
+
+impl Servers {
+    async fn start(plan: Plan, log: Log) -> io::Result<Servers> {
+        let missed = Missed::default();
+        let origin =
+            Origin::start("origin", plan.origin.clone(), plan.seed ^ 0x0419, log.clone(), missed.clone())
+                .await?;
+        let discovery = Discovery::start(plan.delay, log.clone()).await?;
+        discovery.put(Listed::new("origin", origin.addr, "origin"));
+        let (boxes, later) = Default::default();
+        let mut servers = Servers { plan, log, missed, boxes, origin, discovery, started: 0, later };
+        for n in 0..servers.plan.boxes {
+            servers.enter(&format!("box-{n}"), (Ipv4Addr::LOCALHOST, 0).into(), false).await?;
+        }
+        Ok(servers)
+    }
+
+    /// Starts a box and lists it.
+    async fn enter(&mut self, name: &str, at: SocketAddr, cold: bool) -> io::Result<()> {
+        self.started += 1;
+        let (plan, seed) = (self.plan.cache.clone(), self.plan.seed ^ (self.started << 32));
+        let cache = loop {
+            let (log, missed) = (self.log.clone(), self.missed.clone());
+            match CacheBox::start(name, at, plan.clone(), cold, seed, log, missed).await {
+                // The old one's listener closes on its own task.
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse => tokio::task::yield_now().await,
+                other => break other?,
+            }
+        };
+        self.missed.enter(name, &cache.inner);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started_ms = if cold { unix.as_millis() as u64 } else { 0 };
+        self.discovery.put(Listed { started_ms, ..Listed::new(name, cache.addr, "standard") });
+        self.boxes.insert(name.to_owned(), cache);
+        Ok(())
+    }
+
+    fn step(&mut self, step: Step) -> io::Result<()> {
+        match step {
+            Step::Faults { server, faults } if server == "origin" => self.origin.set_faults(faults),
+            // One that is gone meanwhile has none.
+            Step::Faults { server, faults } => {
+                if let Some(cache) = self.boxes.get(&server) {
+                    cache.set_faults(faults);
+                }
+            }
+            Step::Drain { server } => self.discovery.set_state(&server, Told::Draining),
+            Step::Undrain { server } if !self.boxes.contains_key(&server) => {}
+            Step::Undrain { server } => self.discovery.set_state(&server, Told::Serving),
+            Step::Remove { server } => drop(self.remove(&server)?),
+            Step::Replace { server, by } => {
+                let old = self.remove(&server)?;
+                self.later.push((by, old.addr));
+            }
+            Step::Discovery { down } => self.discovery.set_down(down),
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, server: &str) -> io::Result<CacheBox> {
+        self.discovery.set_state(server, Told::Deleted);
+        self.boxes
+            .remove(server)
+            .ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, format!("no box {server}")))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/verdict.rs
@@ -0,0 +1,196 @@
+//! The four rules, checked from outside: from what the stand-ins and the clients saw.
+//!
+//! A time limit is broken only if it is broken by more than what sockets allow and than what may have been seen
+//! late.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use crate::clients::{Ask, End, Kind, SLACK};
+use crate::clock::Micros;
+use crate::record::{Event, Record, Told};
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Broken {
+    /// Rule 1: a request that was taken got no answer in its time, or another's.
+    Unanswered(String, End),
+    /// Rule 1: its answer came so much late, in microseconds.
+    Late(String, Micros),
+    /// Rule 1: answers that nobody had asked for.
+    Doubled(u64),
+    /// Rule 2: an unsafe request, or a keyed one, had its effect so many times.
+    RanTwice(String, usize),
+    /// Rule 2: an unsafe request that had its effect was refused.
+    RefusedButRan(String),
+    /// Rule 3: a server got something new so long after word that it drains or is gone, in microseconds.
+    AfterDrain(Arc<str>, Micros),
+    /// Rule 4: a cold server was pushed over.
+    PushedOver(Arc<str>),
+    /// The protocol: a server got what no client sent.
+    Syntax(Arc<str>, String),
+    /// The records are not whole: so many had no room.
+    Unseen(usize),
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Broken::Unanswered(id, end) => write!(f, "rule 1: request {id} ended {end:?}"),
+            Broken::Late(id, by) => write!(f, "rule 1: request {id} was answered {by} us late"),
+            Broken::Doubled(n) => write!(f, "rule 1: {n} answers that nobody asked for"),
+            Broken::RanTwice(id, n) => write!(f, "rule 2: {id} ran {n} times"),
+            Broken::RefusedButRan(id) => write!(f, "rule 2: unsafe request {id} ran and was refused"),
+            Broken::AfterDrain(server, by) => write!(f, "rule 3: {server} was sent to {by} us after word"),
+            Broken::PushedOver(server) => write!(f, "rule 4: {server} was pushed over"),
+            Broken::Syntax(server, words) => write!(f, "protocol: {server} got {words:?}"),
+            Broken::Unseen(n) => write!(f, "{n} records had no room"),
+        }
+    }
+}
+
+/// Checks all rules; a server may be sent something new for `grace` microseconds after word.
+pub fn check(
+    (records, dropped): (&[Record], usize),
+    asks: &[Ask],
+    doubled: u64,
+    grace: Micros,
+) -> Vec<Broken> {
+    let mut broken: Vec<Broken> = asks.iter().filter_map(answered).collect();
+    broken.extend((doubled > 0).then_some(Broken::Doubled(doubled)));
+    broken.extend((dropped > 0).then_some(Broken::Unseen(dropped)));
+    effects(records, asks, &mut broken);
+    drains(records, grace, &mut broken);
+    for record in records {
+        match &record.event {
+            Event::PushedOver => broken.push(Broken::PushedOver(record.server.clone())),
+            Event::Syntax(words) => broken.push(Broken::Syntax(record.server.clone(), words.clone())),
+            _ => {}
+        }
+    }
+    broken
+}
+
+/// Rule 1.
+fn answered(ask: &Ask) -> Option<Broken> {
+    match ask.end {
+        End::Unreached => None, // not taken
+        End::Foreign | End::Lost | End::Unanswered => Some(Broken::Unanswered(ask.id.clone(), ask.end)),
+        End::Served | End::Refused | End::Failed => {
+            let by = ask.ended.saturating_sub(ask.sent + ask.wait);
+            ask.is_late(SLACK).then(|| Broken::Late(ask.id.clone(), by))
+        }
+    }
+}
+
+/// Rule 2.
+fn effects(records: &[Record], asks: &[Ask], broken: &mut Vec<Broken>) {
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for record in records {
+        if let Event::Ran(asked) = &record.event
+            && asked.write
+        {
+            *runs.entry(asked.idempotency.as_ref().unwrap_or(&asked.id)).or_default() += 1;
+        }
+    }
+    let twice = runs.iter().filter(|(_, n)| **n > 1);
+    broken.extend(twice.map(|(id, n)| Broken::RanTwice((*id).to_owned(), *n)));
+    let refused = asks.iter().filter(|ask| ask.kind == Kind::Unsafe && ask.end == End::Refused);
+    let ran = refused.filter(|ask| runs.contains_key(ask.id.as_str()));
+    broken.extend(ran.map(|ask| Broken::RefusedButRan(ask.id.clone())));
+}
+
+/// Rule 3.
+fn drains(records: &[Record], grace: Micros, broken: &mut Vec<Broken>) {
+    let mut told: HashMap<&str, Micros> = HashMap::new();
+    for Record { at, late, server, event } in records {
+        match event {
+            Event::Told(Told::Serving) => _ = told.remove(&**server),
+            Event::Told(Told::Draining | Told::Deleted) => _ = told.entry(server).or_insert(*at),
+            Event::FirstByte => {
+                let since = told.get(&**server).map_or(0, |told| at.saturating_sub(told + late));
+                if since > grace + SLACK {
+                    broken.push(Broken::AfterDrain(server.clone(), since));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Asked;
+
+    fn ask(end: End, kind: Kind, took: Micros) -> Ask {
+        Ask { id: "i".into(), class: 0, kind, sent: 0, wait: 1000, ended: took, late: 100, end }
+    }
+
+    fn record(at: Micros, event: Event) -> Record {
+        Record { at, late: 100, server: "box-0".into(), event }
+    }
+
+    fn asked(write: bool, facts: &str) -> Asked {
+        Asked::new("k", "i", facts, write)
+    }
+
+    fn verdict(records: &[Record], asks: &[Ask]) -> Vec<Broken> {
+        check((records, 0), asks, 0, 1000)
+    }
+
+    #[test]
+    fn one_answer_in_time_is_owed_to_each_that_was_taken() {
+        assert_eq!(verdict(&[], &[ask(End::Served, Kind::Read, 1000 + SLACK + 100)]), []);
+        let late = verdict(&[], &[ask(End::Failed, Kind::Read, 1000 + SLACK + 101)]);
+        assert_eq!(late, [Broken::Late("i".into(), SLACK + 101)]);
+        for end in [End::Lost, End::Unanswered, End::Foreign] {
+            assert_eq!(verdict(&[], &[ask(end, Kind::Read, 0)]), [Broken::Unanswered("i".into(), end)]);
+        }
+        assert_eq!(verdict(&[], &[ask(End::Unreached, Kind::Read, 0)]), []);
+        assert_eq!(check((&[], 0), &[], 2, 0), [Broken::Doubled(2)]);
+        assert_eq!(check((&[], 3), &[], 0, 0), [Broken::Unseen(3)]);
+    }
+
+    #[test]
+    fn no_effect_happens_twice_and_none_is_refused() {
+        let ran = |facts: &str| record(0, Event::Ran(asked(true, facts)));
+        assert_eq!(verdict(&[ran("d=1"), ran("d=1")], &[]), [Broken::RanTwice("i".into(), 2)]);
+        assert_eq!(verdict(&[ran("k=x"), ran("k=x")], &[]), [Broken::RanTwice("x".into(), 2)]);
+        let discarded = record(0, Event::Discarded(asked(true, "k=x")));
+        assert_eq!(verdict(&[ran("k=x"), discarded], &[]), []);
+        let reads = vec![record(0, Event::Ran(asked(false, "d=1"))); 2];
+        assert_eq!(verdict(&reads, &[]), []);
+        let refused = ask(End::Refused, Kind::Unsafe, 0);
+        assert_eq!(
+            verdict(&[ran("d=1")], std::slice::from_ref(&refused)),
+            [Broken::RefusedButRan("i".into())]
+        );
+        assert_eq!(verdict(&[], &[refused]), []);
+    }
+
+    #[test]
+    fn nothing_new_goes_to_a_server_long_after_word_of_its_drain() {
+        let limit = 1000 + SLACK + 100;
+        for word in [Told::Draining, Told::Deleted] {
+            let told = record(500, Event::Told(word));
+            let (kept, late) = (record(500 + limit, Event::FirstByte), record(501 + limit, Event::FirstByte));
+            assert_eq!(verdict(&[told.clone(), kept], &[]), []);
+            assert_eq!(verdict(&[told.clone(), late.clone()], &[]).len(), 1);
+            let again = record(600, Event::Told(word));
+            assert_eq!(verdict(&[told.clone(), again, late.clone()], &[]).len(), 1, "the first word counts");
+            let back = record(600, Event::Told(Told::Serving));
+            assert_eq!(verdict(&[told, back, late], &[]), []);
+        }
+    }
+
+    #[test]
+    fn a_fall_and_bad_syntax_are_told() {
+        let records = [record(0, Event::PushedOver), record(0, Event::Syntax("GET".into()))];
+        assert_eq!(
+            verdict(&records, &[]),
+            [Broken::PushedOver("box-0".into()), Broken::Syntax("box-0".into(), "GET".into())]
+        );
+    }
+}
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -207,14 +207,23 @@
         let config = format!(
             r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
+        Node::run(
+            &config,
+            program(shell).env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", discovery.to_string()),
+        )
+    }
+}
+
+impl Node {
+    /// A node with this configuration, addresses and all.
+    pub fn configured(config: &str) -> Node {
+        Node::run(config, &mut program("exec \"$0\""))
+    }
+
+    fn run(config: &str, command: &mut Command) -> Node {
         let file = tempfile::NamedTempFile::new().unwrap();
         std::fs::write(file.path(), config).unwrap();
-        let mut child = program(shell)
-            .env("EDGE_CONFIG", file.path())
-            .env("EDGE_LISTEN", "127.0.0.1:0")
-            .env("EDGE_DISCOVERY", discovery.to_string())
-            .spawn()
-            .unwrap();
+        let mut child = command.env("EDGE_CONFIG", file.path()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut first = String::new();
         log.read_line(&mut first).unwrap();
@@ -225,6 +234,10 @@
 }
 
 impl Node {
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.addr).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
