Add a command line: serve by a file of options, check, fleet and load

Need: the node could be started only as the platform does it, with a configuration, a discovery, caches and an origin that nobody outside has.

Change: without a command the program is the platform's node as before. `fleet` runs stand-ins and a node and shows an answer; `load` is an open loop; `serve` takes options in TOML, each key documented and tested; `check` tells every mistake with file, line, field and mend and starts nothing.

--- /dev/null
+++ b/crates/lilacquay/src/cli.rs
@@ -0,0 +1,81 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+
+/// A cache-proxy node.
+///
+/// Without a command it is the platform's node: it reads the JSON file that EDGE_CONFIG names, and EDGE_LISTEN
+/// and EDGE_DISCOVERY go before what that says.
+#[derive(Parser)]
+#[command(version)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Run a node by a file of options; deploy/serve.toml documents each
+    Serve {
+        /// The options, in TOML
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Tell each mistake in a file of options, or in a platform's JSON; start nothing
+    Check {
+        /// What `serve --config` or EDGE_CONFIG would name
+        file: PathBuf,
+    },
+    /// Run a whole site on loopback: stand-ins and one node
+    Fleet(FleetArgs),
+    /// Load a node of a stand-in fleet, in an open loop
+    Load(LoadArgs),
+}
+
+#[derive(Args)]
+pub struct FleetArgs {
+    /// How many cache boxes
+    #[arg(long, default_value_t = 6)]
+    pub boxes: usize,
+    /// Where the node listens; port 0 takes a free one
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// For all random choices
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// What goes wrong and when, in TOML; docs/fleet.md has an example
+    #[arg(long, value_name = "FILE")]
+    pub script: Option<PathBuf>,
+    /// End by itself after this time, as in `30s`
+    #[arg(long = "for", value_name = "TIME", value_parser = humantime::parse_duration)]
+    pub time: Option<Duration>,
+}
+
+#[derive(Args)]
+pub struct LoadArgs {
+    /// The node
+    #[arg(long)]
+    pub to: SocketAddr,
+    /// Requests a second; they come at random and don't wait for answers
+    #[arg(long, default_value_t = 300.0)]
+    pub rate: f64,
+    /// For how long, as in `10s`
+    #[arg(long = "for", value_name = "TIME", default_value = "10s", value_parser = humantime::parse_duration)]
+    pub time: Duration,
+    /// For all random choices; two loads at once need two seeds
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How many keys
+    #[arg(long, default_value_t = 1000)]
+    pub keys: usize,
+    /// How unevenly they are asked for: a Zipf exponent, 0 for all alike
+    #[arg(long, default_value_t = 0.9)]
+    pub skew: f64,
+    /// Shares of lookup (a read), signup (a keyed write) and post (an unsafe write)
+    #[arg(long, value_delimiter = ',', num_args = 3, default_values_t = [0.94, 0.05, 0.01])]
+    pub mix: Vec<f64>,
+}
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -1,15 +1,20 @@
-//! What a node is told at its start: the environment, and the JSON file that it names.
+//! What a node is told at its start: the platform's JSON file, the environment, and the options of `serve`.
 
 use std::env::{self, VarError};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::{fmt, fs, io};
+use std::{fmt, fs};
 
 use lilacquay_fronts::Bounds;
 use lilacquay_members::discovery::Told;
-use paddlefold::setup::{Setup, SetupError, Stated};
+use paddlefold::setup::{Setup, Stated};
 use serde::Deserialize;
+use serde_json::Value;
+
+use crate::check::{Mistake, Mistakes, one_line, unreadable};
+use crate::options::Options;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
@@ -18,6 +23,25 @@
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
 
+/// Who tells a node its configuration.
+#[derive(Debug, Clone)]
+pub enum Source {
+    /// The platform: the environment, and the JSON file that it names.
+    Platform,
+    /// A file of options, which names the JSON file.
+    Options(PathBuf),
+}
+
+impl Source {
+    /// The file that `check` takes.
+    pub fn path(&self) -> PathBuf {
+        match self {
+            Source::Platform => env::var_os("EDGE_CONFIG").unwrap_or_default().into(),
+            Source::Options(path) => path.clone(),
+        }
+    }
+}
+
 /// What a node is told.
 pub struct Config {
     pub listen: SocketAddr,
@@ -32,27 +56,20 @@
 /// Why a node cannot start.
 #[derive(Debug)]
 pub enum ConfigError {
+    /// An environment variable that is needed, or a key of that name in the file.
     Missing(&'static str),
-    Unreadable(String, io::Error),
-    Malformed(String, serde_json::Error),
+    /// An environment variable that is no address.
     Address(&'static str, String),
-    Seed(String),
-    Settings(SetupError),
-    Sockets(usize),
+    /// Mistakes in a file of this source.
+    Mistakes(Source, Vec<Mistake>),
 }
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ConfigError::Missing(name) => write!(f, "{name} is not set"),
-            ConfigError::Unreadable(path, error) => write!(f, "cannot read configuration {path}: {error}"),
-            ConfigError::Malformed(path, error) => write!(f, "bad configuration {path}: {error}"),
             ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
-            ConfigError::Seed(text) => write!(f, "bad seed {text:?}: 16 hex digits at most"),
-            ConfigError::Settings(error) => write!(f, "bad settings: {error}"),
-            ConfigError::Sockets(n) => {
-                write!(f, "a limit of {n} sockets is too low: {} wanted", 2 * RESERVED)
-            }
+            ConfigError::Mistakes(source, mistakes) => f.write_str(&one_line(source, mistakes)),
         }
     }
 }
@@ -75,39 +92,163 @@
     memory_mb: Option<usize>,
 }
 
-impl File {
-    fn read() -> Result<File, ConfigError> {
-        let path = variable("EDGE_CONFIG")?.ok_or(ConfigError::Missing("EDGE_CONFIG"))?;
-        let text = fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path.clone(), e))?;
-        serde_json::from_str(&text).map_err(|e| ConfigError::Malformed(path, e))
+/// The JSON file, read and with its words understood.
+struct Read {
+    listen: Option<SocketAddr>,
+    discovery: Option<SocketAddr>,
+    seed: u64,
+    limits: Limits,
+    known: Told,
+    setup: Setup,
+}
+
+impl Read {
+    fn new(path: &Path) -> Result<Read, Vec<Mistake>> {
+        let text = fs::read_to_string(path).map_err(|error| vec![unreadable(path, &error)])?;
+        let mut mistakes = Mistakes::new(path, &text);
+        let read = Read::parse(&text, &mut mistakes);
+        let found = mistakes.into_found();
+        read.filter(|_| found.is_empty()).ok_or(found)
+    }
+
+    fn parse(text: &str, mistakes: &mut Mistakes) -> Option<Read> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let file: File = match serde_path_to_error::deserialize(&mut json) {
+            Ok(file) => file,
+            Err(error) => {
+                let (field, inner) = (error.path().to_string(), error.inner());
+                let field = if field == "." { "" } else { &field };
+                let what = inner.to_string();
+                let what = what.split(" at line ").next().unwrap_or(&what);
+                mistakes.on_line(inner.line(), field, what, "write it as the platform does");
+                return None;
+            }
+        };
+        let mut address = |name: &str, text_: &Option<String>| {
+            let address = text_.as_ref().map(|text| text.parse::<SocketAddr>());
+            if let Some(Err(_)) = address {
+                let what = format!("{:?} is no address with a port", text_.as_deref().unwrap_or(""));
+                mistakes.at(place(text, name), name, what, "write it as 127.0.0.1:6379");
+            }
+            address.and_then(Result::ok)
+        };
+        let (listen, discovery) = (address("listen", &file.listen), address("discovery", &file.discovery));
+        let seed = u64::from_str_radix(&file.seed, 16);
+        if seed.is_err() {
+            let what = format!("bad seed {:?}", file.seed);
+            mistakes.at(place(text, "seed"), "seed", what, "write 16 hex digits at most");
+        }
+        if file.limits.sockets.is_some_and(|sockets| sockets < 2 * RESERVED) {
+            let mend = format!("grant {} at least", 2 * RESERVED);
+            mistakes.at(place(text, "sockets"), "limits.sockets", "too low a limit", mend);
+        }
+        let setup = Setup::try_from(file.settings).inspect_err(|error| {
+            let mend = "write safe, keyed or unsafe";
+            mistakes.at(place(text, "Effect"), "settings.Classes", error.to_string(), mend);
+        });
+        let (seed, setup) = (seed.ok()?, setup.ok()?);
+        Some(Read { listen, discovery, seed, limits: file.limits, known: file.known, setup })
     }
 }
 
-impl Config {
-    /// Reads the file that `EDGE_CONFIG` names; `EDGE_LISTEN` and `EDGE_DISCOVERY` go before what it says.
-    pub fn from_env() -> Result<Config, ConfigError> {
-        let file = File::read()?;
-        let sockets = file.limits.sockets.unwrap_or(SOCKETS);
-        if sockets < 2 * RESERVED {
-            return Err(ConfigError::Sockets(sockets));
+/// Where a key of the JSON stands first.
+fn place(text: &str, key: &str) -> usize {
+    text.find(&format!("\"{key}\"")).unwrap_or(0)
+}
+
+/// Reads a platform's JSON and tells all that is wrong with it, also what a node could start with.
+pub fn check_json(path: &Path) -> (PathBuf, Vec<Mistake>) {
+    let mistakes = match Read::new(path) {
+        Err(mistakes) => mistakes,
+        Ok(read) => {
+            let text = fs::read_to_string(path).unwrap_or_default();
+            let mut mistakes = Mistakes::new(path, &text);
+            look_closer(&read, &text, &mut mistakes);
+            mistakes.into_found()
         }
+    };
+    (path.to_owned(), mistakes)
+}
+
+/// What makes no sense though it can be read.
+fn look_closer(read: &Read, text: &str, mistakes: &mut Mistakes) {
+    if read.known.skipped > 0 {
+        let what = format!("{} servers that can't be read", read.known.skipped);
+        mistakes.at(place(text, "known"), "known.servers", what, "give each an id, an addr and a state");
+    }
+    let json: Value = serde_json::from_str(text).unwrap_or_default();
+    let settings = &json["settings"];
+    let names = |name: &str| settings[name].as_array().cloned().unwrap_or_default();
+    if settings["Zone"].is_string() && !names("Dcs").contains(&settings["Zone"]) {
+        let what = format!("{} is not among Dcs", settings["Zone"]);
+        mistakes.at(place(text, "Zone"), "settings.Zone", what, "name one of Dcs");
+    }
+    let origin = settings["FamilyInfo"]["OriginKind"].as_u64();
+    let kinds = names("Skus").len() as u64;
+    if settings["FamilyInfo"]["Mode"] == "aside" && origin.is_none_or(|kind| kind >= kinds) {
+        let mend = "give the place, from 0, of the origin's kind among Skus";
+        mistakes.at(
+            place(text, "FamilyInfo"),
+            "settings.FamilyInfo.OriginKind",
+            "names no kind of Skus",
+            mend,
+        );
+    }
+    for (n, class) in names("Classes").iter().enumerate() {
+        let longest = class["HardLimit"].as_f64().unwrap_or(0.0);
+        if longest <= 0.0 || class["Aim"].as_f64().unwrap_or(0.0) > longest {
+            let field = format!("settings.Classes[{n}].HardLimit");
+            let name = class["Name"].as_str().unwrap_or("");
+            let what = format!("class {name} has no time beyond its Aim");
+            let at = text.find(&format!("\"{name}\"")).unwrap_or(0);
+            mistakes.at(at, &field, what, "give a HardLimit of at least the Aim, in ms");
+        }
+    }
+}
+
+impl Config {
+    /// Reads what a source tells.
+    ///
+    /// # Errors
+    /// What is missing, and all mistakes in its files.
+    pub fn read(source: &Source) -> Result<Config, ConfigError> {
+        let read =
+            |path: &Path| Read::new(path).map_err(|found| ConfigError::Mistakes(source.clone(), found));
+        let (read, options) = match source {
+            Source::Platform => (read(&platform_file()?)?, None),
+            Source::Options(path) => {
+                let options =
+                    Options::read(path).map_err(|found| ConfigError::Mistakes(source.clone(), found))?;
+                (read(&options.node)?, Some(options))
+            }
+        };
+        let said = options.as_ref();
         Ok(Config {
-            listen: address("EDGE_LISTEN", file.listen)?,
-            discovery: address("EDGE_DISCOVERY", file.discovery)?,
-            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
-            sockets,
-            memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB),
-            known: file.known,
-            setup: Setup::try_from(file.settings).map_err(ConfigError::Settings)?,
+            listen: address("EDGE_LISTEN", said.map(|said| said.listen), read.listen)?,
+            discovery: address("EDGE_DISCOVERY", said.map(|said| said.discovery), read.discovery)?,
+            seed: read.seed,
+            sockets: said.and_then(|said| said.sockets).or(read.limits.sockets).unwrap_or(SOCKETS),
+            memory_mb: said.and_then(|said| said.memory_mb).or(read.limits.memory_mb).unwrap_or(MEMORY_MB),
+            known: read.known,
+            setup: read.setup,
         })
     }
 
-    /// Reads the file anew, for what may change while the node runs: where discovery is. What the file
-    /// says now goes before the environment, which is as old as the process.
-    pub fn discovery_anew() -> Result<SocketAddr, ConfigError> {
-        match File::read()?.discovery {
-            Some(text) => parse("discovery", text),
-            None => address("EDGE_DISCOVERY", None),
+    /// Reads the source anew, for what may change while the node runs: where discovery is. On the platform,
+    /// what the file says now goes before the environment, which is as old as the process.
+    ///
+    /// # Errors
+    /// As [`Config::read`].
+    pub fn discovery_anew(source: &Source) -> Result<SocketAddr, ConfigError> {
+        match source {
+            Source::Platform => {
+                let read = Read::new(&platform_file()?);
+                match read.map_err(|found| ConfigError::Mistakes(source.clone(), found))?.discovery {
+                    Some(address) => Ok(address),
+                    None => address("EDGE_DISCOVERY", None, None),
+                }
+            }
+            Source::Options(_) => Config::read(source).map(|config| config.discovery),
         }
     }
 
@@ -129,6 +270,26 @@
     }
 }
 
+fn platform_file() -> Result<PathBuf, ConfigError> {
+    variable("EDGE_CONFIG")?.map(PathBuf::from).ok_or(ConfigError::Missing("EDGE_CONFIG"))
+}
+
+/// An address: of the options, where there are any, or else of the environment; last of the JSON.
+fn address(
+    name: &'static str,
+    said: Option<Option<SocketAddr>>,
+    in_file: Option<SocketAddr>,
+) -> Result<SocketAddr, ConfigError> {
+    let first = match said {
+        Some(said) => said,
+        None => match variable(name)? {
+            Some(text) => Some(text.parse().map_err(|_| ConfigError::Address(name, text))?),
+            None => None,
+        },
+    };
+    first.or(in_file).ok_or(ConfigError::Missing(name))
+}
+
 fn variable(name: &'static str) -> Result<Option<String>, ConfigError> {
     match env::var(name) {
         Ok(text) => Ok(Some(text)),
@@ -136,11 +297,3 @@
         Err(VarError::NotUnicode(text)) => Err(ConfigError::Address(name, text.to_string_lossy().into())),
     }
 }
-
-fn address(name: &'static str, in_file: Option<String>) -> Result<SocketAddr, ConfigError> {
-    parse(name, variable(name)?.or(in_file).ok_or(ConfigError::Missing(name))?)
-}
-
-fn parse(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
-    text.parse().map_err(|_| ConfigError::Address(name, text))
-}
--- /dev/null
+++ b/crates/lilacquay/src/fleet.rs
@@ -0,0 +1,145 @@
+//! `lilacquay fleet`: a whole site on loopback.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use lilacquay_fleet::script::Script;
+use lilacquay_fleet::{Fleet, Plan};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+use crate::cli::FleetArgs;
+use crate::script;
+
+/// Descriptors of the node.
+const SOCKETS: usize = 1024;
+
+/// Runs a fleet and a node until it is told to end.
+pub fn run(args: FleetArgs) -> io::Result<()> {
+    let script = match &args.script {
+        Some(file) => script::read(file).map_err(io::Error::other)?,
+        None => Script::new(),
+    };
+    let fleet =
+        Fleet::start(Plan { boxes: args.boxes, seed: args.seed, recorded: false, ..Plan::default() })?;
+    let (mut node, addr) = Node::start(&fleet, args.listen)?;
+    introduce(&fleet, &node, addr)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        tokio::select! {
+            ended = told_to_end(args.time) => ended,
+            played = play(&fleet, script) => played,
+            ended = node.ended() => ended,
+        }
+    })
+}
+
+/// The node's process. It ends with this value.
+struct Node {
+    child: Child,
+    _config: tempfile::NamedTempFile,
+}
+
+impl Node {
+    fn start(fleet: &Fleet, listen: SocketAddr) -> io::Result<(Node, SocketAddr)> {
+        let mut config = tempfile::NamedTempFile::new()?;
+        config.write_all(fleet.configuration(listen, SOCKETS).as_bytes())?;
+        let mut child = Command::new(std::env::current_exe()?)
+            .env("EDGE_CONFIG", config.path())
+            .env_remove("EDGE_LISTEN")
+            .env_remove("EDGE_DISCOVERY")
+            .stderr(Stdio::piped())
+            .process_group(0) // Ctrl-C is for this process, which ends the node in order
+            .spawn()?;
+        let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
+        let mut log = BufReader::new(log);
+        let mut first = String::new();
+        log.read_line(&mut first)?;
+        let node = Node { child, _config: config };
+        let addr = first.trim().strip_prefix("listening on ").and_then(|addr| addr.parse().ok());
+        let addr =
+            addr.ok_or_else(|| io::Error::other(format!("the node did not start: {}", first.trim())))?;
+        std::thread::spawn(move || {
+            log.lines().map_while(Result::ok).for_each(|line| _ = writeln!(io::stderr(), "node: {line}"));
+        });
+        Ok((node, addr))
+    }
+
+    /// Waits for its end, which nobody asked for.
+    async fn ended(&mut self) -> io::Result<()> {
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Err(io::Error::other(format!("the node ended: {status}")));
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if pid.is_none_or(|pid| kill_process(pid, Signal::TERM).is_err()) {
+            let _ = self.child.kill();
+        }
+        let _ = self.child.wait();
+    }
+}
+
+async fn told_to_end(time: Option<Duration>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        ended = tokio::signal::ctrl_c() => ended,
+        _ = terminate.recv() => Ok(()),
+        () = sleep(time.unwrap_or(Duration::MAX)) => Ok(()),
+    }
+}
+
+/// Plays the script; never ends unless a step fails.
+async fn play(fleet: &Fleet, script: Script) -> io::Result<()> {
+    let start = Instant::now();
+    for (at, step) in script {
+        tokio::time::sleep_until((start + at).into()).await;
+        writeln!(io::stdout(), "{:6.1} s  {step:?}", start.elapsed().as_secs_f64())?;
+        fleet.step(step)?;
+    }
+    std::future::pending().await
+}
+
+/// Prints where everything is, and the answer to one read.
+fn introduce(fleet: &Fleet, node: &Node, addr: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    for (n, addr) in fleet.boxes.iter().enumerate() {
+        writeln!(out, "{:<10} {addr}", format!("box-{n}"))?;
+    }
+    writeln!(out, "{:<10} {}", "origin", fleet.origin)?;
+    writeln!(out, "{:<10} {}", "discovery", fleet.discovery)?;
+    writeln!(out, "{:<10} {addr} (process {})", "node", node.child.id())?;
+    let asked = Instant::now();
+    let answer = ask(addr)?;
+    let took = asked.elapsed().as_secs_f64() * 1000.0;
+    writeln!(out, "\nCACHE.GET calendar:12 first c=lookup,d=1000  ->  {answer:?} in {took:.1} ms")?;
+    let program = std::env::current_exe()?;
+    writeln!(out, "\nTo load it:  {} load --to {addr} --rate 300 --for 10s", program.display())?;
+    writeln!(out, "Ctrl-C ends all.")?;
+    out.flush()
+}
+
+fn ask(addr: SocketAddr) -> io::Result<String> {
+    let mut stream = TcpStream::connect(addr)?;
+    let words = ["CACHE.GET", "calendar:12", "first", "c=lookup,d=1000"];
+    let bulk: String = words.iter().map(|word| format!("${}\r\n{word}\r\n", word.len())).collect();
+    stream.write_all(format!("*{}\r\n{bulk}", words.len()).as_bytes())?;
+    let mut reader = BufReader::new(stream);
+    let (mut first, mut value) = (String::new(), String::new());
+    reader.read_line(&mut first)?;
+    if first.starts_with('$') {
+        reader.read_line(&mut value)?;
+        first = value;
+    }
+    Ok(first.trim().to_owned())
+}
--- /dev/null
+++ b/crates/lilacquay/src/load.rs
@@ -0,0 +1,88 @@
+//! `lilacquay load`: an open loop, with what came of it.
+
+use std::io::{self, IsTerminal, Write};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use lilacquay_fleet::Clock;
+use lilacquay_fleet::clients::{self, ClassReport, Load, Progress, Report};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::cli::LoadArgs;
+
+/// How often a terminal is told how far it is.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Runs a load; a success if no rule was broken and the node was reached.
+pub fn run(args: LoadArgs) -> ExitCode {
+    let mut load = Load::usual(args.to, args.time, args.seed);
+    (load.rate, load.keys, load.skew) = (args.rate, args.keys, args.skew);
+    load.classes.iter_mut().zip(&args.mix).for_each(|(class, share)| class.share = *share);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("lilacquay: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let report = runtime.block_on(watched(load));
+    let unreached: u64 = report.classes.iter().map(|class| class.unreached).sum();
+    // A closed pipe is no failure of the load.
+    let _ = print(&report, unreached);
+    match report.broken() + unreached {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+/// Runs it, and shows how far it is where somebody can see it.
+async fn watched(load: Load) -> Report {
+    let progress = Arc::<Progress>::default();
+    let mut running = tokio::spawn(clients::run(load, Clock::default(), progress.clone()));
+    let (mut ticks, shown) = (interval(TICK), io::stderr().is_terminal());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            report = &mut running => {
+                if shown {
+                    eprint!("\r\x1b[K");
+                }
+                return report.expect("the load does not panic");
+            }
+            _ = ticks.tick(), if shown => {
+                let Progress { asked, served, turned_away, broken } = &*progress;
+                let counts = [asked, served, turned_away, broken].map(|count| count.load(Relaxed));
+                let [asked, served, turned_away, broken] = counts;
+                eprint!("\r\x1b[Kasked {asked}  served {served}  turned away {turned_away}  broken {broken}");
+                let _ = io::stderr().flush();
+            }
+        }
+    }
+}
+
+fn print(report: &Report, unreached: u64) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(
+        out,
+        "class       served refused  failed  broken     p50     p99   p99.9     max  (ms, from when due)"
+    )?;
+    for class in &report.classes {
+        line(&mut out, class)?;
+    }
+    writeln!(out, "answers that nobody asked for: {}", report.doubled)?;
+    if unreached > 0 {
+        writeln!(out, "the node was not reached by {unreached} requests")?;
+    }
+    let lag = report.lag as f64 / 1000.0;
+    writeln!(out, "the load itself ran late by {lag:.1} ms at most")
+}
+
+fn line(out: &mut impl Write, class: &ClassReport) -> io::Result<()> {
+    let ms = |quantile| class.served.value_at_quantile(quantile) as f64 / 1000.0;
+    let ClassReport { name, served, refused, failed, broken, .. } = class;
+    write!(out, "{name:<10} {:>7} {refused:>7} {failed:>7} {broken:>7}", served.len())?;
+    let max = served.max() as f64 / 1000.0;
+    writeln!(out, " {:>7.1} {:>7.1} {:>7.1} {max:>7.1}", ms(0.5), ms(0.99), ms(0.999))
+}
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -1,15 +1,34 @@
-//! One cache-proxy node: reads its configuration, serves until it is told to stop.
+//! One cache-proxy node, and the tools beside it: see `cli`.
 
+mod check;
+mod cli;
 mod config;
+mod fleet;
+mod load;
 mod node;
+mod options;
+mod script;
 
 use std::fmt::Display;
 use std::process::ExitCode;
 
-use config::Config;
+use clap::Parser;
+use cli::{Cli, Command};
+use config::{Config, Source};
 
 fn main() -> ExitCode {
-    let config = match Config::from_env() {
+    match Cli::parse().command {
+        None => serve(Source::Platform),
+        Some(Command::Serve { config }) => serve(Source::Options(config)),
+        Some(Command::Check { file }) => check::run(&file),
+        Some(Command::Fleet(args)) => end(fleet::run(args)),
+        Some(Command::Load(args)) => load::run(args),
+    }
+}
+
+/// Serves until it is told to stop.
+fn serve(source: Source) -> ExitCode {
+    let config = match Config::read(&source) {
         Ok(config) => config,
         Err(error) => return failed(error),
     };
@@ -17,7 +36,11 @@
         Ok(runtime) => runtime,
         Err(error) => return failed(error),
     };
-    match runtime.block_on(node::run(config)) {
+    end(runtime.block_on(node::run(config, source)))
+}
+
+fn end(result: Result<(), impl Display>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => failed(error),
     }
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::config::Config;
+use crate::config::{Config, Source};
 
 /// After word to stop, connections that were on their way are still taken for so long.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -24,7 +24,7 @@
 const LAST_WRITES: Duration = Duration::from_millis(600);
 
 /// Serves until SIGTERM, then answers what was taken.
-pub async fn run(config: Config) -> io::Result<()> {
+pub async fn run(config: Config, source: Source) -> io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
@@ -42,7 +42,7 @@
     let driver = tokio::spawn(driver.run());
     let (new_address, address) = watch::channel(config.discovery);
     tokio::spawn(discovery::Watch::new(members, version).run(address));
-    tokio::spawn(follow_configuration(reload, new_address));
+    tokio::spawn(follow_configuration(reload, source, new_address));
     let accepting = tokio::spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
     tokio::select! {
         _ = stop.recv() => {}
@@ -57,9 +57,9 @@
 }
 
 /// At each SIGHUP, tells where discovery is by the configuration as it is now.
-async fn follow_configuration(mut reload: Signal, address: watch::Sender<SocketAddr>) {
+async fn follow_configuration(mut reload: Signal, source: Source, address: watch::Sender<SocketAddr>) {
     while reload.recv().await.is_some() {
-        match Config::discovery_anew() {
+        match Config::discovery_anew(&source) {
             Ok(new) => {
                 log(format_args!("discovery is at {new}"));
                 let _ = address.send(new); // nobody follows it once the node ends
--- /dev/null
+++ b/crates/lilacquay/tests/cli.rs
@@ -0,0 +1,144 @@
+//! The command line, as a user meets it.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Output, Stdio};
+
+use lilacquay_fleet::{Fleet, Plan};
+
+fn lilacquay(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lilacquay"));
+    command.args(args).env_remove("EDGE_CONFIG").stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+/// A folder with a fleet's JSON and these options beside it.
+fn folder(fleet: &Fleet, options: &str) -> tempfile::TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let json = fleet.configuration(([127, 0, 0, 1], 0).into(), 512);
+    std::fs::write(folder.path().join("node.json"), json).unwrap();
+    std::fs::write(folder.path().join("serve.toml"), options).unwrap();
+    folder
+}
+
+fn fleet() -> Fleet {
+    Fleet::start(Plan { boxes: 2, ..Plan::default() }).unwrap()
+}
+
+/// A process that is ended with its test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn serve_runs_a_node_by_its_options_which_go_before_the_json() {
+    let fleet = fleet();
+    let other = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = other.local_addr().unwrap();
+    let options = format!(
+        "node = \"node.json\"\n[resp]\nlisten = \"127.0.0.1:0\"\n[discovery]\naddress = \"{discovery}\"\n"
+    );
+    let folder = folder(&fleet, &options);
+    let file = folder.path().join("serve.toml");
+    let mut node = Running(lilacquay(&["serve", "--config", file.to_str().unwrap()]).spawn().unwrap());
+    let mut log = BufReader::new(node.0.stderr.take().unwrap());
+    let mut first = String::new();
+    log.read_line(&mut first).unwrap();
+    let addr = first.trim().strip_prefix("listening on ").expect(&first);
+    let mut client = TcpStream::connect(addr).unwrap();
+    client.write_all(common::words(&["CACHE.GET", "k", "i1", "c=lookup,d=1000"]).as_bytes()).unwrap();
+    let mut answer = [0; 4];
+    client.read_exact(&mut answer).unwrap();
+    assert_eq!(answer[0], b'$', "served from the fleet");
+    drop(other.accept().unwrap()); // it asks discovery where the options say
+}
+
+#[test]
+fn check_tells_each_mistake_with_file_line_field_and_mend() {
+    let fleet = fleet();
+    let folder = folder(&fleet, "node = \"node.json\"\n[limits]\nsockets = 1024\n");
+    let (options, json) = (folder.path().join("serve.toml"), folder.path().join("node.json"));
+    let check = |file: &std::path::Path| lilacquay(&["check", file.to_str().unwrap()]).output().unwrap();
+    let good = check(&options);
+    assert!(good.status.success(), "{}", text(&good));
+    assert!(check(&json).status.success());
+    let right = std::fs::read_to_string(&json).unwrap();
+    let cases = [
+        (
+            "\"seed\":\"1\"",
+            "\"seed\":\"x\"",
+            "node.json:1: seed: bad seed \"x\"; write 16 hex digits at most",
+        ),
+        ("\"safe\"", "\"sure\"", "settings.Classes: unknown effect \"sure\"; write safe, keyed or unsafe"),
+        ("\"Zone\":\"a\"", "\"Zone\":\"b\"", "settings.Zone: \"b\" is not among Dcs; name one of Dcs"),
+        ("\"OriginKind\":1", "\"OriginKind\":2", "settings.FamilyInfo.OriginKind: names no kind of Skus"),
+        ("\"HardLimit\":1000.0", "\"HardLimit\":1.0", "class lookup has no time beyond its Aim"),
+        ("\"sockets\":512", "\"sockets\":7", "limits.sockets: too low a limit; grant 48 at least"),
+        (
+            "\"sockets\":512",
+            "\"sockets\":\"7\"",
+            "limits.sockets: invalid type: string \"7\", expected usize",
+        ),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "listen: \"here\" is no address with a port"),
+        ("{", "{\n{", "node.json:2"),
+    ];
+    for (from, to, told) in cases {
+        assert!(right.contains(from), "{from}");
+        std::fs::write(&json, right.replacen(from, to, 1)).unwrap();
+        let bad = check(&options);
+        assert!(!bad.status.success() && text(&bad).contains(told), "{told}: {}", text(&bad));
+    }
+    std::fs::write(&json, right.replace("\"seed\":\"1\"", "\"seed\":\"x\"").replace("\"safe\"", "\"sure\""))
+        .unwrap();
+    assert!(text(&check(&options)).contains("2 to mend"));
+    let missing = check(&folder.path().join("none.toml"));
+    assert!(text(&missing).contains("cannot be read"));
+}
+
+#[test]
+fn fleet_shows_an_answer_takes_a_load_and_ends_all() {
+    let mut fleet = Running(lilacquay(&["fleet", "--boxes", "3"]).spawn().unwrap());
+    let mut lines = BufReader::new(fleet.0.stdout.take().unwrap()).lines().map(Result::unwrap);
+    let mut line = |wanted: &str| lines.find(|line| line.contains(wanted)).expect("a line");
+    let (node, answer, paste) = (line("node  "), line("CACHE.GET"), line("To load it"));
+    assert!(answer.contains("first calendar:12 v1"), "{answer}");
+    let addr = node.split_whitespace().nth(1).unwrap();
+    assert!(paste.contains(addr));
+    let load = lilacquay(&["load", "--to", addr, "--for", "1s", "--rate", "200"]).output().unwrap();
+    assert!(load.status.success(), "{}", text(&load));
+    let served: u64 = text(&load)
+        .lines()
+        .find(|l| l.starts_with("lookup"))
+        .unwrap()
+        .split_whitespace()
+        .nth(1)
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(served > 100);
+    // As Ctrl-C does.
+    let id = fleet.0.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &id]).status().unwrap().success());
+    assert!(fleet.0.wait().unwrap().success());
+    assert!(TcpStream::connect(addr).is_err(), "the node has ended with it");
+}
+
+#[test]
+fn a_load_on_nobody_fails_and_says_so() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let load = lilacquay(&["load", "--to", &addr, "--for", "200ms"]).output().unwrap();
+    assert!(!load.status.success() && text(&load).contains("was not reached by"), "{}", text(&load));
+}
