--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -97,6 +97,24 @@
     }
 }
 
+/// What a driver holds.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    connections: AtomicUsize,
+    open: AtomicUsize,
+}
+
+impl Gauges {
+    /// Connections to servers, in use or idle.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+    /// Requests that are owed an answer or have an attempt out.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
 /// What a core is made of.
 pub struct Options {
     /// The settings.
@@ -122,8 +140,7 @@
     /// Attempts under way: each holds a connection, or is making one.
     running: usize,
     connections: usize,
-    /// How many connections to servers there are, for the fronts.
-    held: Arc<AtomicUsize>,
+    gauges: Arc<Gauges>,
     timers: DelayQueue<Due>,
     /// What has happened and is not yet told.
     events: VecDeque<Event>,
@@ -151,7 +168,7 @@
             open: HashMap::new(),
             running: 0,
             connections: options.connections,
-            held: Arc::default(),
+            gauges: Arc::default(),
             timers: DelayQueue::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -166,9 +183,9 @@
         (driver, Requests::new(to.clone(), options.memory), Members { to, asked })
     }
 
-    /// How many connections to servers there are, kept up to date.
-    pub fn held(&self) -> Arc<AtomicUsize> {
-        self.held.clone()
+    /// What it holds, kept up to date.
+    pub fn gauges(&self) -> Arc<Gauges> {
+        self.gauges.clone()
     }
 
     /// Runs until nobody can tell it anything.
@@ -183,6 +200,7 @@
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
             }
             self.decide();
+            self.gauges.open.store(self.open.len(), Ordering::Relaxed);
         }
     }
 
@@ -285,7 +303,7 @@
         let attempt = open.attempts.len();
         let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
             let held = self.running + self.directory.idle();
-            self.held.store(held, Ordering::Relaxed);
+            self.gauges.connections.store(held, Ordering::Relaxed);
             if pooled.is_none() && held >= self.connections {
                 self.directory.close_oldest();
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,7 +20,7 @@
 mod upstream;
 
 pub use call::{Answer, Call, CallError, VALUE_LIMIT};
-pub use driver::{Driver, Options};
+pub use driver::{Driver, Gauges, Options};
 pub use members::{Entry, List, Members, State};
 pub use paddlefold::{Micros, Outcome};
 pub use requests::{InUse, Pending, Requests};
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -1,10 +1,9 @@
 //! Listeners, and the bounds that hold for the clients of all of them together.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use lilacquay_core::{Requests, log};
+use lilacquay_core::{Gauges, Requests, log};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, timeout};
@@ -25,8 +24,8 @@
     pub connections: usize,
     /// ... and together with those to servers.
     pub with_servers: usize,
-    /// How many connections to servers there are.
-    pub to_servers: Arc<AtomicUsize>,
+    /// What the core holds.
+    pub gauges: Arc<Gauges>,
     /// Bytes for buffers that are not small.
     pub memory: usize,
 }
@@ -34,7 +33,7 @@
 impl Bounds {
     /// How many connections from clients there may be now.
     fn limit(&self) -> usize {
-        let free = self.with_servers.saturating_sub(self.to_servers.load(Ordering::Relaxed));
+        let free = self.with_servers.saturating_sub(self.gauges.connections());
         self.connections.max(free)
     }
 }
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 use std::{fmt, fs};
 
+use lilacquay_core::Gauges;
 use lilacquay_fronts::Bounds;
 use lilacquay_members::discovery::Told;
 use paddlefold::setup::{Setup, Stated};
@@ -254,9 +254,9 @@
 
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
     /// for those to come.
-    pub fn client_bounds(&self, to_servers: Arc<AtomicUsize>) -> Bounds {
+    pub fn client_bounds(&self, gauges: Arc<Gauges>) -> Bounds {
         let with_servers = self.sockets - RESERVED - self.sockets / 8;
-        Bounds { connections: self.sockets / 3, with_servers, to_servers, memory: self.request_memory() }
+        Bounds { connections: self.sockets / 3, with_servers, gauges, memory: self.request_memory() }
     }
 
     /// Bytes that open requests may hold: an eighth of the memory, as buffers may that are not small.
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -38,7 +38,7 @@
     let options = Options { setup: config.setup.clone(), seed: config.seed, known, connections, memory };
     let names = config.setup.names.clone();
     let (driver, requests, members) = Driver::new(options, Servers);
-    let hall = Hall::new(requests, config.client_bounds(driver.held()));
+    let hall = Hall::new(requests, config.client_bounds(driver.gauges()));
     let driver = tokio::spawn(driver.run());
     let (new_address, address) = watch::channel(config.discovery);
     tokio::spawn(discovery::Watch::new(members, version).run(address));
