--- a/crates/fleet/src/clients.rs
+++ b/crates/fleet/src/clients.rs
@@ -170,7 +170,8 @@
     }
 }
 
-fn times() -> Histogram<u64> {
+/// A histogram for times in microseconds, up to a minute.
+pub fn times() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are in order")
 }
 
@@ -207,16 +208,7 @@
 
 /// Runs a load to its end, on the clock of the fleet that is to be compared with it.
 pub async fn run(load: Load, clock: Clock, progress: Arc<Progress>) -> Report {
-    let shared = Arc::new(Shared {
-        keys: zipf(load.keys, load.skew),
-        clock,
-        idle: Mutex::default(),
-        doubled: AtomicU64::new(0),
-        lag: AtomicU64::new(0),
-        next: AtomicUsize::new(0),
-        progress,
-        load,
-    });
+    let shared = Arc::new(Shared::new(load, clock, progress));
     let mut report = Report {
         classes: shared.load.classes.iter().map(|class| ClassReport::new(&class.name)).collect(),
         doubled: 0,
@@ -250,6 +242,37 @@
     report
 }
 
+/// Loads a node with so many clients that each ask again as soon as they have their answer; tells the times of
+/// those served. For what a node can carry: what waits is hidden here, unlike in an open loop.
+pub async fn closed(load: Load, clients: usize) -> Histogram<u64> {
+    let mut rng = fastrand::Rng::with_seed(load.seed);
+    let end = Instant::now() + load.time;
+    let shared = Arc::new(Shared::new(load, Clock::default(), Arc::default()));
+    let mut tasks = JoinSet::new();
+    for _ in 0..clients {
+        let (shared, mut rng) = (shared.clone(), rng.fork());
+        tasks.spawn(async move {
+            let mut served = times();
+            while Instant::now() < end {
+                let due = Instant::now();
+                let (ask, took) = shared.ask(due, rng.f64(), rng.f64()).await;
+                match ask.end {
+                    End::Served => served.saturating_record(took.as_micros() as u64),
+                    End::Unreached => break,
+                    _ => {}
+                }
+            }
+            served
+        });
+    }
+    let mut all = times();
+    while let Some(Ok(served)) = tasks.join_next().await {
+        // Of the same bounds: it fits.
+        let _ = all.add(&served);
+    }
+    all
+}
+
 impl ClassReport {
     fn new(name: &str) -> Self {
         let name = name.to_owned();
@@ -268,6 +291,11 @@
 pub const SLACK: Micros = 50_000;
 
 impl Shared {
+    fn new(load: Load, clock: Clock, progress: Arc<Progress>) -> Self {
+        let (idle, doubled, lag, next) = Default::default();
+        Shared { keys: zipf(load.keys, load.skew), load, clock, idle, doubled, lag, next, progress }
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<TcpStream>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -407,6 +435,10 @@
             End::Served
         }
         Frame::BulkString(_) => End::Foreign,
+        // A cache's own answer: the value, how it went, and a load report.
+        Frame::Array(parts) if matches!(parts.first(), Some(Frame::BulkString(_))) => {
+            judge(&parts[0], id, key)
+        }
         Frame::Error(text) if text.starts_with("BUSY") => End::Refused,
         _ => End::Failed,
     }
--- a/crates/fleet/src/clock.rs
+++ b/crates/fleet/src/clock.rs
@@ -56,3 +56,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_thread_that_was_held_up_is_known_to_be_late() {
+        let clock = Clock::default();
+        tokio::spawn(clock.clone().metronome());
+        tokio::task::yield_now().await;
+        std::thread::sleep(Duration::from_millis(50)); // holds up this thread, as a busy machine does
+        while clock.late() == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(clock.late() >= 40_000, "{}", clock.late());
+    }
+}
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -38,15 +38,17 @@
     }
 }
 
-/// What the connections of all fronts share.
+/// What the connections of all fronts share. Cheap to clone.
 #[derive(Clone)]
-pub struct Hall {
+pub struct Hall(Arc<Shared>);
+
+pub(crate) struct Shared {
     pub(crate) requests: Requests,
     bounds: Bounds,
     /// Connections on which nothing is owed.
     pub(crate) seats: Arc<Seats>,
     /// Told when a session has ended.
-    pub(crate) left: Arc<Notify>,
+    pub(crate) left: Notify,
     /// Places for buffers that are not small.
     pub(crate) large: Arc<Semaphore>,
     /// Set when connections are to be closed between requests.
@@ -61,7 +63,7 @@
         // Clients may hold a third of the descriptors: some of it stays free for their next connections.
         let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
         let (left, closing, sessions) = Default::default();
-        Hall { requests, bounds, seats, left, large, closing, sessions }
+        Hall(Arc::new(Shared { requests, bounds, seats, left, large, closing, sessions }))
     }
 
     /// Takes connections until it is dropped, each with a protocol of its own.
@@ -70,13 +72,13 @@
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
             // the servers leave free is the clients' too: many have asked once and stay.
-            while self.sessions.len() >= self.bounds.limit() {
+            while self.0.sessions.len() >= self.0.bounds.limit() {
                 self.make_room().await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let session = Session::new(self.clone(), protocol());
-                    self.sessions.spawn(session.run(stream));
+                    let session = Session::new(self.0.clone(), protocol());
+                    self.0.sessions.spawn(session.run(stream));
                 }
                 // Guards against: an exit, or a busy loop, when descriptors run out.
                 Err(error) => {
@@ -89,15 +91,15 @@
 
     /// Closes all connections between requests; waits until the last is closed.
     pub async fn close(&self) {
-        self.closing.cancel();
-        self.sessions.close();
-        self.sessions.wait().await;
+        self.0.closing.cancel();
+        self.0.sessions.close();
+        self.0.sessions.wait().await;
     }
 
     /// Has a connection closed, and waits for its end, or for a while.
     async fn make_room(&self) {
-        let left = self.left.notified();
-        self.seats.clear_one(Instant::now());
+        let left = self.0.left.notified();
+        self.0.seats.clear_one(Instant::now());
         let _ = timeout(PAUSE, left).await; // looked at again either way
     }
 }
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -1,18 +1,24 @@
 //! One client's connection: reads commands, opens requests, writes the answers in the order of the commands.
 
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, Pending, VALUE_LIMIT};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
+use tokio_util::io::poll_read_buf;
 
-use crate::hall::Hall;
+use crate::hall::Shared;
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use crate::seats::{Guest, Seat};
 
@@ -25,6 +31,8 @@
 /// Commands begun, and bytes of answers written, before others have their turn.
 const TURN: usize = 32;
 const WRITTEN: usize = 16 << 10;
+/// Room that is made for what has come, at least: most commands come whole in one read.
+const ROOM: usize = 1 << 10;
 /// A buffer of up to this size is any connection's; larger ones are for a few at a time.
 const SMALL: usize = 8 << 10;
 /// A connection that has had nothing good to say for so long is closed: silent, or in the midst of a command.
@@ -41,7 +49,7 @@
 }
 
 pub(crate) struct Session<P: Protocol> {
-    hall: Hall,
+    hall: Arc<Shared>,
     protocol: P,
     buffer: BytesMut,
     /// The place of a buffer that is not small.
@@ -65,7 +73,7 @@
 }
 
 impl<P: Protocol> Session<P> {
-    pub fn new(hall: Hall, protocol: P) -> Self {
+    pub fn new(hall: Arc<Shared>, protocol: P) -> Self {
         let now = Instant::now();
         Session {
             hall,
@@ -114,7 +122,7 @@
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
                 biased;
-                read = reader.read_buf(&mut self.buffer), if reading && roomy => {
+                read = receive(&mut reader, &mut self.buffer), if reading && roomy => {
                     let read = read?;
                     if read == 0 {
                         return Ok(());
@@ -262,6 +270,20 @@
     }
 }
 
+/// Reads what has come into a buffer, which takes no memory before something has.
+async fn receive(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
+    poll_fn(|cx| {
+        ready!(reader.as_ref().poll_read_ready(cx))?;
+        buffer.reserve(ROOM.max(buffer.len()));
+        let read = poll_read_buf(Pin::new(&mut *reader), cx, buffer);
+        if read.is_pending() && buffer.is_empty() {
+            *buffer = BytesMut::new();
+        }
+        Poll::Ready(ready!(read))
+    })
+    .await
+}
+
 /// The next one owed, once it can be answered, with its answer if it waited for one. Cancelled between, it
 /// loses nothing.
 async fn next<R>(owed: &mut VecDeque<Owed<R>>) -> (Owed<R>, Option<Answer>) {
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -76,6 +76,19 @@
     #[arg(long, default_value_t = 0.9)]
     pub skew: f64,
     /// Shares of lookup (a read), signup (a keyed write) and post (an unsafe write)
-    #[arg(long, value_delimiter = ',', num_args = 3, default_values_t = [0.94, 0.05, 0.01])]
-    pub mix: Vec<f64>,
+    #[arg(long, value_name = "LOOKUP,SIGNUP,POST", default_value = "0.94,0.05,0.01", value_parser = mix)]
+    pub mix: Mix,
+}
+
+/// The shares of the classes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mix(pub [f64; 3]);
+
+fn mix(text: &str) -> Result<Mix, String> {
+    let shares: Vec<f64> = text.split(',').filter_map(|share| share.trim().parse().ok()).collect();
+    let shares = <[f64; 3]>::try_from(shares).ok();
+    let good = shares.filter(|shares| {
+        shares.iter().all(|s| *s >= 0.0 && s.is_finite()) && shares.iter().sum::<f64>() > 0.0
+    });
+    good.map(Mix).ok_or_else(|| "write three shares, as in 0.94,0.05,0.01".into())
 }
--- a/crates/lilacquay/src/fleet.rs
+++ b/crates/lilacquay/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use lilacquay_fleet::script::Script;
+use lilacquay_fleet::verdict::check;
 use lilacquay_fleet::{Fleet, Plan};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,6 +18,8 @@
 
 /// Descriptors of the node.
 const SOCKETS: usize = 1024;
+/// Between word of a drain and the last thing sent, in microseconds, by the fleet's settings.
+const GRACE: u64 = 500_000;
 
 /// Runs a fleet and a node until it is told to end.
 pub fn run(args: FleetArgs) -> io::Result<()> {
@@ -24,8 +27,7 @@
         Some(file) => script::read(file).map_err(io::Error::other)?,
         None => Script::new(),
     };
-    let fleet =
-        Fleet::start(Plan { boxes: args.boxes, seed: args.seed, recorded: false, ..Plan::default() })?;
+    let fleet = Fleet::start(Plan { boxes: args.boxes, seed: args.seed, ..Plan::default() })?;
     let (mut node, addr) = Node::start(&fleet, args.listen)?;
     introduce(&fleet, &node, addr)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -35,7 +37,18 @@
             played = play(&fleet, script) => played,
             ended = node.ended() => ended,
         }
-    })
+    })?;
+    drop(node);
+    conclude(&fleet)
+}
+
+/// Prints what the servers saw of broken rules. What clients see of them is `load`'s to tell.
+fn conclude(fleet: &Fleet) -> io::Result<()> {
+    let (records, dropped) = fleet.records();
+    let broken = check((&records, dropped), &[], 0, GRACE);
+    let mut out = io::stdout().lock();
+    writeln!(out, "\nrules broken, as the servers saw them: {}", broken.len())?;
+    broken.iter().take(20).try_for_each(|broken| writeln!(out, "  {broken}"))
 }
 
 /// The node's process. It ends with this value.
--- a/crates/lilacquay/src/load.rs
+++ b/crates/lilacquay/src/load.rs
@@ -19,7 +19,7 @@
 pub fn run(args: LoadArgs) -> ExitCode {
     let mut load = Load::usual(args.to, args.time, args.seed);
     (load.rate, load.keys, load.skew) = (args.rate, args.keys, args.skew);
-    load.classes.iter_mut().zip(&args.mix).for_each(|(class, share)| class.share = *share);
+    load.classes.iter_mut().zip(args.mix.0).for_each(|(class, share)| class.share = share);
     let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/lilacquay/tests/cli.rs
+++ b/crates/lilacquay/tests/cli.rs
@@ -115,7 +115,9 @@
     assert!(answer.contains("first calendar:12 v1"), "{answer}");
     let addr = node.split_whitespace().nth(1).unwrap();
     assert!(paste.contains(addr));
-    let load = lilacquay(&["load", "--to", addr, "--for", "1s", "--rate", "200"]).output().unwrap();
+    let load = lilacquay(&["load", "--to", addr, "--for", "1s", "--rate", "200", "--mix", "9,1,0"])
+        .output()
+        .unwrap();
     assert!(load.status.success(), "{}", text(&load));
     let served: u64 = text(&load)
         .lines()
@@ -130,6 +132,7 @@
     // As Ctrl-C does.
     let id = fleet.0.id().to_string();
     assert!(Command::new("kill").args(["-INT", &id]).status().unwrap().success());
+    assert!(line("rules broken").ends_with(" 0"));
     assert!(fleet.0.wait().unwrap().success());
     assert!(TcpStream::connect(addr).is_err(), "the node has ended with it");
 }
@@ -141,4 +144,8 @@
     drop(listener);
     let load = lilacquay(&["load", "--to", &addr, "--for", "200ms"]).output().unwrap();
     assert!(!load.status.success() && text(&load).contains("was not reached by"), "{}", text(&load));
+    for mix in ["1,0", "0,0,0", "1,-1,0", "a,b,c"] {
+        let bad = lilacquay(&["load", "--to", &addr, "--mix", mix]).output().unwrap();
+        assert!(!bad.status.success() && text(&bad).contains("write three shares"), "{}", text(&bad));
+    }
 }
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -16,6 +16,8 @@
 
 /// Room for a command's name and headers.
 const HEADERS: usize = 64;
+/// The least room of a command's buffer, which takes the answer later: most come whole in one read.
+const ROOM: usize = 1 << 10;
 
 /// A connection to a cache, between requests.
 pub struct Cache(TcpStream);
@@ -67,7 +69,7 @@
         false => fact,
     });
     let facts = facts.collect::<Vec<_>>().join(&b","[..]);
-    let mut text = BytesMut::with_capacity(HEADERS + call.key.len() + call.id.len() + facts.len());
+    let mut text = BytesMut::with_capacity(ROOM.max(HEADERS + call.key.len() + call.id.len() + facts.len()));
     put_array(&mut text, if call.is_write() { 5 } else { 4 });
     for part in [name, call.key.as_bytes(), &call.id, &facts] {
         put_bulk(&mut text, part);
