Check a platform's file by what it begins with, whatever its name

Cause: `check` took a file for JSON by its ending, and the platform's may have any name; read as TOML it gave one wrong mistake. Two stand-ins also had the same accept loop.

Change: a file that begins with a brace is JSON; one accept loop serves origin and discovery. A test checks a file without an ending.

--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::origin::text;
+use crate::origin::{accept, text};
 use crate::record::{Event, Log, Told};
 
 /// A watch that knows less than so many versions ago gets the whole list.
@@ -91,7 +91,8 @@
         let addr = listener.local_addr()?;
         let ended = CancellationToken::new();
         let inner = Arc::new(Inner { listing: watch::Sender::default(), log, delay, ended });
-        tokio::spawn(inner.clone().accept(listener));
+        let attended = inner.clone();
+        tokio::spawn(accept(listener, inner.ended.clone(), move |stream| attended.clone().attend(stream)));
         Ok(Discovery { inner, addr })
     }
 
@@ -132,17 +133,6 @@
 }
 
 impl Inner {
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            tokio::select! {
-                () = self.ended.cancelled() => return,
-                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                    tokio::spawn(self.clone().attend(stream));
-                },
-            }
-        }
-    }
-
     async fn attend(self: Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|request: Request<Incoming>| {
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -140,7 +140,8 @@
             log,
             missed,
         });
-        tokio::spawn(inner.clone().accept(listener));
+        let attended = inner.clone();
+        tokio::spawn(accept(listener, inner.ended.clone(), move |stream| attended.clone().attend(stream)));
         Ok(Origin { inner, addr })
     }
 
@@ -157,17 +158,6 @@
 }
 
 impl Inner {
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            tokio::select! {
-                () = self.ended.cancelled() => return,
-                accepted = listener.accept() => if let Ok((stream, _)) = accepted {
-                    tokio::spawn(self.clone().attend(stream));
-                },
-            }
-        }
-    }
-
     async fn attend(self: Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let reset = CancellationToken::new();
@@ -272,6 +262,24 @@
     }
 }
 
+/// Attends to each connection on a task of its own, until the end.
+pub(crate) async fn accept<F>(
+    listener: TcpListener,
+    ended: CancellationToken,
+    attend: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        tokio::select! {
+            () = ended.cancelled() => return,
+            accepted = listener.accept() => if let Ok((stream, _)) = accepted {
+                tokio::spawn(attend(stream));
+            },
+        }
+    }
+}
+
 pub(crate) fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(body.into()));
     *answer.status_mut() = status;
--- a/crates/lilacquay/src/check.rs
+++ b/crates/lilacquay/src/check.rs
@@ -75,16 +75,14 @@
 
 /// Prints each mistake of a file; a success if there is none.
 pub fn run(file: &Path) -> ExitCode {
-    let is_json = file.extension().is_some_and(|extension| extension == "json");
+    // By what it begins with: the platform's file may have any name, and no options begin with a brace.
+    let is_json = std::fs::read_to_string(file).is_ok_and(|text| text.trim_start().starts_with('{'));
     let mistakes = match is_json {
-        true => config::check_json(file).1,
-        false => Options::read(file)
-            .and_then(|options| match config::check_json(&options.node) {
-                (_, mistakes) if mistakes.is_empty() => Ok(()),
-                (_, mistakes) => Err(mistakes),
-            })
-            .err()
-            .unwrap_or_default(),
+        true => config::check_json(file),
+        false => match Options::read(file) {
+            Ok(options) => config::check_json(&options.node),
+            Err(mistakes) => mistakes,
+        },
     };
     mistakes.iter().for_each(|mistake| println!("{mistake}"));
     match mistakes.len() {
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -157,8 +157,8 @@
 }
 
 /// Reads a platform's JSON and tells all that is wrong with it, also what a node could start with.
-pub fn check_json(path: &Path) -> (PathBuf, Vec<Mistake>) {
-    let mistakes = match Read::new(path) {
+pub fn check_json(path: &Path) -> Vec<Mistake> {
+    match Read::new(path) {
         Err(mistakes) => mistakes,
         Ok(read) => {
             let text = fs::read_to_string(path).unwrap_or_default();
@@ -166,8 +166,7 @@
             look_closer(&read, &text, &mut mistakes);
             mistakes.into_found()
         }
-    };
-    (path.to_owned(), mistakes)
+    }
 }
 
 /// What makes no sense though it can be read.
--- a/crates/lilacquay/tests/cli.rs
+++ b/crates/lilacquay/tests/cli.rs
@@ -73,6 +73,9 @@
     let good = check(&options);
     assert!(good.status.success(), "{}", text(&good));
     assert!(check(&json).status.success());
+    let unnamed = folder.path().join("configuration");
+    std::fs::copy(&json, &unnamed).unwrap();
+    assert!(check(&unnamed).status.success(), "the platform's file may have any name");
     let right = std::fs::read_to_string(&json).unwrap();
     let cases = [
         (
