Follow membership through etcd's Range and Watch, with a stand-in etcd and its faults

Cause: the list of servers arrives seconds late by discovery, and a node that restarts while its source is away knows only the list it was given.

Change: a follower without I/O (crates/members, etcd/follower.rs) decides when to range and from which revision to watch, what a whole list means against what is held, when a watch is dead, how long to wait and where to try next, and when a store that went backwards is believed. A client on tonic with messages from a .proto of the project's own, compiled by protox (crates/etcd); TLS, user and several endpoints by configuration, off by default. The last list is kept in a file, whole or not at all, with a checksum. `serve` takes `etcd = FILE`; etcd's first list ends discovery's say; SIGHUP follows it to other endpoints. `lilacquay members` prints and writes the list. A stand-in etcd in the fleet has a revisioned store, leases, compaction, and faults per endpoint.

The platform's node does not use any of it.

--- a/crates/fleet/src/cache.rs
+++ b/crates/fleet/src/cache.rs
@@ -299,7 +299,7 @@
     }
 }
 
-async fn accept_on(listener: Option<&TcpListener>) -> io::Result<TcpStream> {
+pub(crate) async fn accept_on(listener: Option<&TcpListener>) -> io::Result<TcpStream> {
     match listener {
         Some(listener) => listener.accept().await.map(|(stream, _)| stream),
         None => std::future::pending().await,
--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -51,6 +51,14 @@
         Listed { id: id.into(), addr, zone, kind, state: Told::Serving, started_ms: 0, version: 0 }
     }
 
+    /// The value of its key in etcd.
+    pub fn value(&self) -> String {
+        let state = if self.state == Told::Serving { "serving" } else { "draining" };
+        json!({"addr": self.addr.to_string(), "zone": self.zone, "kind": self.kind, "cell": 0, "state": state,
+               "weight": 1.0, "started_ms": self.started_ms})
+        .to_string()
+    }
+
     fn json(&self) -> serde_json::Value {
         let state = match self.state {
             Told::Serving => "SERVING",
@@ -106,12 +114,9 @@
         });
     }
 
-    /// Changes a server's state; nothing if it is not listed.
-    pub fn set_state(&self, id: &str, state: Told) {
-        let listed = self.inner.listing.borrow().servers.iter().find(|server| &*server.id == id).cloned();
-        if let Some(server) = listed {
-            self.put(Listed { state, ..server });
-        }
+    /// A server's entry.
+    pub fn listed(&self, id: &str) -> Option<Listed> {
+        self.inner.listing.borrow().servers.iter().find(|server| &*server.id == id).cloned()
     }
 
     /// Whether a server of this name is listed, or was.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for all that a node meets, on loopback: cache boxes, the origin, discovery and clients.
+//! Stand-ins for all that a node meets, on loopback: cache boxes, the origin, discovery, etcd and clients.
 //!
 //! They are seeded, take faults while they run, and record what comes to them, so that the four rules can be
 //! checked from outside: see [`verdict`]. A [`Fleet`] runs them on a thread of its own.
@@ -10,6 +10,7 @@
 pub mod clients;
 mod clock;
 pub mod discovery;
+pub mod etcd;
 pub mod fault;
 pub mod origin;
 pub mod record;
--- a/crates/fleet/src/script.rs
+++ b/crates/fleet/src/script.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::etcd::EtcdFaults;
 use crate::fault::Faults;
 
 /// One thing that happens.
@@ -45,6 +46,16 @@
         /// Whether it is down.
         down: bool,
     },
+    /// An endpoint of etcd has these faults from now on, and no others.
+    Etcd {
+        /// Which, from 0; all if none is named.
+        endpoint: Option<usize>,
+        /// Its faults.
+        #[serde(default)]
+        faults: EtcdFaults,
+    },
+    /// etcd forgets all but its newest revision, and cancels each watch as if it had been behind.
+    Compact,
 }
 
 /// Steps with the time of each after the start.
@@ -87,3 +98,40 @@
     script.sort_by_key(|(at, _)| *at);
     script
 }
+
+/// A script in which etcd is compacted again and again, its streams break, its endpoints hang and are lost in turn,
+/// while boxes drain and come back, go and are replaced. The last fifth is calm.
+pub fn lost_watches(seed: u64, boxes: usize, endpoints: usize, over: Duration) -> Script {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut script = Script::new();
+    let until = 0.8;
+    let mut at = 0.05;
+    while at < until {
+        script.push((over.mul_f64(at), Step::Compact));
+        at += 0.02 + 0.1 * rng.f64();
+    }
+    let (drop_before, drop_after) = (0.3 * rng.f64(), 0.3 * rng.f64());
+    let rough = EtcdFaults { drop_before, drop_after, twice: 0.3, split: 0.5, ..EtcdFaults::default() };
+    for endpoint in 0..endpoints {
+        script.push((Duration::ZERO, Step::Etcd { endpoint: Some(endpoint), faults: rough.clone() }));
+        let lost = match rng.u8(..3) {
+            0 => EtcdFaults { refuse: true, ..rough.clone() },
+            1 => EtcdFaults { silent: true, ..rough.clone() },
+            _ => EtcdFaults { late_ms: rng.u64(10..200), ..rough.clone() },
+        };
+        let at = until * rng.f64();
+        script.push((over.mul_f64(at), Step::Etcd { endpoint: Some(endpoint), faults: lost }));
+        let back = Step::Etcd { endpoint: Some(endpoint), faults: rough.clone() };
+        script.push((over.mul_f64((at + 0.2).min(until)), back));
+    }
+    script.push((over.mul_f64(until), Step::Etcd { endpoint: None, faults: EtcdFaults::default() }));
+    for server in (0..boxes).map(|n| format!("box-{n}")) {
+        let at = 0.5 * rng.f64();
+        script.push((over.mul_f64(at), Step::Drain { server: server.clone() }));
+        script.push((over.mul_f64(at + 0.15), Step::Undrain { server }));
+    }
+    let gone = format!("box-{}", rng.usize(..boxes));
+    script.push((over.mul_f64(0.7), Step::Replace { server: gone, by: "box-new".into() }));
+    script.sort_by_key(|(at, _)| *at);
+    script
+}
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::mpsc as sync;
+use std::sync::{Arc, mpsc as sync};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -13,6 +13,7 @@
 use crate::cache::{BoxPlan, CacheBox};
 use crate::clock::Clock;
 use crate::discovery::{Discovery, Listed};
+use crate::etcd::{Etcd, EtcdPlan};
 use crate::origin::{Missed, Origin, OriginPlan};
 use crate::record::{Log, Record, Told};
 use crate::script::Step;
@@ -32,6 +33,8 @@
     pub origin: OriginPlan,
     /// How much later than a change discovery tells it.
     pub delay: Duration,
+    /// How many endpoints of etcd there are; it lists the same servers as discovery. 0 is no etcd.
+    pub etcd: usize,
     /// Whether what comes is recorded.
     pub recorded: bool,
 }
@@ -57,11 +60,15 @@
                 window: Duration::from_millis(2500),
             },
             delay: Duration::ZERO,
+            etcd: 0,
             recorded: true,
         }
     }
 }
 
+/// What the keys of servers in etcd begin with.
+const PREFIX: &str = "/fleet/members/";
+
 type Order = Box<dyn FnOnce(&mut Servers) -> io::Result<()> + Send>;
 
 /// A running fleet. It ends when it is dropped.
@@ -73,6 +80,8 @@
     pub boxes: Vec<SocketAddr>,
     /// Where the origin listens.
     pub origin: SocketAddr,
+    /// The stand-in etcd, if there is one. It may be called from any thread.
+    pub etcd: Option<Arc<Etcd>>,
     known: String,
     seed: u64,
     cold: Cold,
@@ -88,6 +97,7 @@
     boxes: HashMap<String, CacheBox>,
     origin: Origin,
     discovery: Discovery,
+    etcd: Option<Arc<Etcd>>,
     started: u64,
     /// What must wait for the network, with its order's answer.
     later: Vec<(String, SocketAddr)>,
@@ -110,12 +120,13 @@
             runtime.block_on(run(plan, ready, inbox));
         })?;
         let started = started.recv().map_err(io::Error::other)??;
-        let Started { log, discovery, boxes, origin, known } = started;
+        let Started { log, discovery, boxes, origin, etcd, known } = started;
         Ok(Fleet {
             log,
             discovery,
             boxes,
             origin,
+            etcd,
             known,
             seed,
             cold,
@@ -148,6 +159,13 @@
         self.log.clock()
     }
 
+    /// The options by which a node follows the fleet's etcd; nothing if there is none.
+    pub fn etcd_options(&self) -> Option<String> {
+        let endpoint = |addr: &SocketAddr| format!("\"http://{addr}\"");
+        let endpoints: Vec<String> = self.etcd.as_ref()?.endpoints.iter().map(endpoint).collect();
+        Some(format!("endpoints = [{}]\nprefix = \"{PREFIX}\"\n", endpoints.join(", ")))
+    }
+
     /// A node's configuration, as the platform words it, for this fleet.
     pub fn configuration(&self, listen: SocketAddr, sockets: usize) -> String {
         let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
@@ -174,6 +192,7 @@
     discovery: SocketAddr,
     boxes: Vec<SocketAddr>,
     origin: SocketAddr,
+    etcd: Option<Arc<Etcd>>,
     known: String,
 }
 
@@ -191,7 +210,8 @@
     let boxes = (0..servers.plan.boxes).map(|n| servers.boxes[&format!("box-{n}")].addr).collect();
     let (discovery, origin) = (servers.discovery.addr, servers.origin.addr);
     let known = servers.discovery.whole();
-    let _ = ready.send(Ok(Started { log, discovery, boxes, origin, known }));
+    let etcd = servers.etcd.clone();
+    let _ = ready.send(Ok(Started { log, discovery, boxes, origin, etcd, known }));
     while let Some((order, answer)) = inbox.recv().await {
         let mut done = order(&mut servers);
         for (name, addr) in std::mem::take(&mut servers.later) {
@@ -208,9 +228,18 @@
             Origin::start("origin", plan.origin.clone(), plan.seed ^ 0x0419, log.clone(), missed.clone())
                 .await?;
         let discovery = Discovery::start(plan.delay, log.clone()).await?;
-        discovery.put(Listed::new("origin", origin.addr, "origin"));
+        let etcd = match plan.etcd {
+            0 => None,
+            endpoints => {
+                let (prefix, seed) = (PREFIX.to_owned(), plan.seed);
+                let plan = EtcdPlan { endpoints, prefix, seed, ..EtcdPlan::default() };
+                Some(Arc::new(Etcd::start(plan, log.clone()).await?))
+            }
+        };
+        let listed = Listed::new("origin", origin.addr, "origin");
         let (boxes, later) = Default::default();
-        let mut servers = Servers { plan, log, missed, boxes, origin, discovery, started: 0, later };
+        let mut servers = Servers { plan, log, missed, boxes, origin, discovery, etcd, started: 0, later };
+        servers.list(listed);
         for n in 0..servers.plan.boxes {
             servers.enter(&format!("box-{n}"), (Ipv4Addr::LOCALHOST, 0).into(), false).await?;
         }
@@ -232,11 +261,28 @@
         self.missed.enter(name, &cache.inner);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let started_ms = if cold { unix.as_millis() as u64 } else { 0 };
-        self.discovery.put(Listed { started_ms, ..Listed::new(name, cache.addr, "standard") });
+        self.list(Listed { started_ms, ..Listed::new(name, cache.addr, "standard") });
         self.boxes.insert(name.to_owned(), cache);
         Ok(())
     }
 
+    /// Lists a server, or changes its entry.
+    fn list(&self, server: Listed) {
+        if let Some(etcd) = &self.etcd {
+            match server.state {
+                Told::Deleted => etcd.delete(&server.id),
+                _ => etcd.put(&server.id, &server.value()),
+            }
+        }
+        self.discovery.put(server);
+    }
+
+    fn set_state(&self, server: &str, state: Told) {
+        if let Some(listed) = self.discovery.listed(server) {
+            self.list(Listed { state, ..listed });
+        }
+    }
+
     fn step(&mut self, step: Step) -> io::Result<()> {
         match step {
             Step::Faults { server, faults } if server == "origin" => self.origin.set_faults(faults),
@@ -253,10 +299,23 @@
                 self.later.push((by, old.addr));
             }
             Step::Discovery { down } => self.discovery.set_down(down),
+            Step::Etcd { endpoint: None, faults } => self.etcd()?.set_all_faults(&faults),
+            Step::Etcd { endpoint: Some(endpoint), faults } => {
+                let etcd = self.etcd()?;
+                if endpoint >= etcd.endpoints.len() {
+                    return Err(io::Error::new(io::ErrorKind::NotFound, format!("no endpoint {endpoint}")));
+                }
+                etcd.set_faults(endpoint, faults);
+            }
+            Step::Compact => self.etcd()?.compact(),
         }
         Ok(())
     }
 
+    fn etcd(&self) -> io::Result<&Etcd> {
+        self.etcd.as_deref().ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, "no etcd in this fleet"))
+    }
+
     /// A box by its name; nothing if it is gone meanwhile.
     fn cache(&self, server: &str) -> io::Result<Option<&CacheBox>> {
         match self.boxes.get(server) {
@@ -267,13 +326,13 @@
 
     fn turn(&self, server: &str, state: Told) -> io::Result<()> {
         if self.cache(server)?.is_some() {
-            self.discovery.set_state(server, state);
+            self.set_state(server, state);
         }
         Ok(())
     }
 
     fn remove(&mut self, server: &str) -> io::Result<CacheBox> {
-        self.discovery.set_state(server, Told::Deleted);
+        self.set_state(server, Told::Deleted);
         self.boxes.remove(server).ok_or_else(|| no_box(server))
     }
 }
--- a/crates/lilacquay/src/check.rs
+++ b/crates/lilacquay/src/check.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use crate::config::{self, Source};
+use crate::etcd::Etcd;
 use crate::options::Options;
 
 /// Something wrong in a file.
@@ -76,13 +77,13 @@
 /// Prints each mistake of a file; a success if there is none.
 pub fn run(file: &Path) -> ExitCode {
     // By what it begins with: the platform's file may have any name, and no options begin with a brace.
-    let is_json = std::fs::read_to_string(file).is_ok_and(|text| text.trim_start().starts_with('{'));
-    let mistakes = match is_json {
-        true => config::check_json(file),
-        false => match Options::read(file) {
-            Ok(options) => config::check_json(&options.node),
-            Err(mistakes) => mistakes,
-        },
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let mistakes = if text.trim_start().starts_with('{') {
+        config::check_json(file)
+    } else if Etcd::is_meant(&text) {
+        Etcd::read(file).and_then(|etcd| etcd.settings()).err().unwrap_or_default()
+    } else {
+        check_options(file)
     };
     mistakes.iter().for_each(|mistake| println!("{mistake}"));
     match mistakes.len() {
@@ -97,6 +98,18 @@
     }
 }
 
+fn check_options(file: &Path) -> Vec<Mistake> {
+    match Options::read(file) {
+        Ok(options) => {
+            let named = options.etcd.as_ref().and_then(|etcd| etcd.settings().err());
+            let mut mistakes = config::check_json(&options.node);
+            mistakes.extend(named.unwrap_or_default());
+            mistakes
+        }
+        Err(mistakes) => mistakes,
+    }
+}
+
 /// The first mistake, and how to see the others.
 pub fn one_line(source: &Source, mistakes: &[Mistake]) -> String {
     let more = match mistakes.len() {
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -34,6 +34,67 @@
     Fleet(FleetArgs),
     /// Load a node of a stand-in fleet, in an open loop
     Load(LoadArgs),
+    /// Show or change the list of servers in etcd
+    Members(MembersArgs),
+}
+
+#[derive(Args)]
+pub struct MembersArgs {
+    /// How to reach etcd, in TOML; deploy/etcd.toml documents it
+    #[arg(long, value_name = "FILE")]
+    pub etcd: PathBuf,
+    #[command(subcommand)]
+    pub order: Option<MembersOrder>,
+}
+
+#[derive(Subcommand)]
+pub enum MembersOrder {
+    /// Print the list with its revision, age and source; this is what is done without an order
+    List,
+    /// Write a server, whatever was there
+    Put(PutArgs),
+    /// Have a server finish what it has and get nothing new
+    Drain {
+        /// Its id
+        id: String,
+    },
+    /// Have a drained server serve again
+    Undrain {
+        /// Its id
+        id: String,
+    },
+    /// Remove a server
+    Remove {
+        /// Its id
+        id: String,
+    },
+}
+
+#[derive(Args)]
+pub struct PutArgs {
+    /// Its id, the same at every node
+    pub id: String,
+    /// Where nodes reach it
+    #[arg(long)]
+    pub addr: SocketAddr,
+    /// The zone it stands in
+    #[arg(long, default_value = "")]
+    pub zone: String,
+    /// Its kind of machine; one kind is the origin's
+    #[arg(long, default_value = "")]
+    pub kind: String,
+    /// The cell, for classes whose repeats a cell discards
+    #[arg(long, default_value_t = 0)]
+    pub cell: u32,
+    /// Its size in comparison with the others
+    #[arg(long)]
+    pub weight: Option<f64>,
+    /// It has just started, and is cold
+    #[arg(long)]
+    pub cold: bool,
+    /// Hold it on a lease of so many seconds: stay, renew it, and let the server go with this process
+    #[arg(long, value_name = "SECONDS", value_parser = clap::value_parser!(i64).range(1..=86_400))]
+    pub lease: Option<i64>,
 }
 
 #[derive(Args)]
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -7,6 +7,7 @@
 use std::{fmt, fs};
 
 use lilacquay_core::Gauges;
+use lilacquay_etcd::Settings;
 use lilacquay_fronts::Bounds;
 use lilacquay_members::discovery::Told;
 use paddlefold::setup::{Setup, Stated};
@@ -14,6 +15,7 @@
 use serde_json::Value;
 
 use crate::check::{Mistake, Mistakes, one_line, unreadable};
+use crate::etcd::Etcd;
 use crate::options::Options;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
@@ -45,7 +47,10 @@
 /// What a node is told.
 pub struct Config {
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where discovery is; without it there is etcd.
+    pub discovery: Option<SocketAddr>,
+    /// The list of servers from etcd.
+    pub etcd: Option<(Etcd, Settings)>,
     pub seed: u64,
     pub sockets: usize,
     pub memory_mb: usize,
@@ -53,6 +58,12 @@
     pub setup: Setup,
 }
 
+/// Where the list of servers comes from.
+pub struct Sources {
+    pub discovery: Option<SocketAddr>,
+    pub etcd: Option<(Etcd, Settings)>,
+}
+
 /// Why a node cannot start.
 #[derive(Debug)]
 pub enum ConfigError {
@@ -222,9 +233,17 @@
             }
         };
         let said = options.as_ref();
+        let etcd = said.and_then(|said| said.etcd.clone()).map(|etcd| Ok((etcd.settings()?, etcd)));
+        let etcd = etcd.transpose().map_err(|found| ConfigError::Mistakes(source.clone(), found))?;
+        let discovery = address("EDGE_DISCOVERY", said.map(|said| said.discovery), read.discovery);
+        let discovery = match discovery {
+            Err(ConfigError::Missing(_)) if etcd.is_some() => None,
+            other => Some(other?),
+        };
         Ok(Config {
             listen: address("EDGE_LISTEN", said.map(|said| said.listen), read.listen)?,
-            discovery: address("EDGE_DISCOVERY", said.map(|said| said.discovery), read.discovery)?,
+            discovery,
+            etcd: etcd.map(|(settings, etcd)| (etcd, settings)),
             seed: read.seed,
             sockets: said.and_then(|said| said.sockets).or(read.limits.sockets).unwrap_or(SOCKETS),
             memory_mb: said.and_then(|said| said.memory_mb).or(read.limits.memory_mb).unwrap_or(MEMORY_MB),
@@ -233,21 +252,26 @@
         })
     }
 
-    /// Reads the source anew, for what may change while the node runs: where discovery is. On the platform,
-    /// what the file says now goes before the environment, which is as old as the process.
+    /// Reads the source anew, for what may change while the node runs: where the list of servers comes from. On
+    /// the platform, what the file says now goes before the environment, which is as old as the process.
     ///
     /// # Errors
     /// As [`Config::read`].
-    pub fn discovery_anew(source: &Source) -> Result<SocketAddr, ConfigError> {
+    pub fn sources_anew(source: &Source) -> Result<Sources, ConfigError> {
         match source {
             Source::Platform => {
                 let read = Read::new(&platform_file()?);
-                match read.map_err(|found| ConfigError::Mistakes(source.clone(), found))?.discovery {
-                    Some(address) => Ok(address),
-                    None => address("EDGE_DISCOVERY", None, None),
-                }
+                let read = read.map_err(|found| ConfigError::Mistakes(source.clone(), found))?;
+                let discovery = match read.discovery {
+                    Some(address) => address,
+                    None => address("EDGE_DISCOVERY", None, None)?,
+                };
+                Ok(Sources { discovery: Some(discovery), etcd: None })
+            }
+            Source::Options(_) => {
+                let Config { discovery, etcd, .. } = Config::read(source)?;
+                Ok(Sources { discovery, etcd })
             }
-            Source::Options(_) => Config::read(source).map(|config| config.discovery),
         }
     }
 
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -3,11 +3,14 @@
 mod check;
 mod cli;
 mod config;
+mod etcd;
 mod fleet;
 mod load;
+mod members;
 mod node;
 mod options;
 mod script;
+mod section;
 
 use std::fmt::Display;
 use std::process::ExitCode;
@@ -23,6 +26,7 @@
         Some(Command::Check { file }) => check::run(&file),
         Some(Command::Fleet(args)) => end(fleet::run(args)),
         Some(Command::Load(args)) => load::run(args),
+        Some(Command::Members(args)) => end(members::run(args)),
     }
 }
 
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lilacquay_core::{Driver, Options, log};
+use lilacquay_core::{Driver, Members, Options, log};
+use lilacquay_etcd::Settings;
 use lilacquay_fronts::Hall;
 use lilacquay_fronts::resp::Resp;
-use lilacquay_members::discovery;
+use lilacquay_members::{discovery, etcd};
 use lilacquay_upstreams::Servers;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -15,6 +16,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::config::{Config, Source};
+use crate::etcd::Etcd;
 
 /// After word to stop, connections that were on their way are still taken for so long.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -40,9 +42,8 @@
     let (driver, requests, members) = Driver::new(options, Servers);
     let hall = Hall::new(requests, config.client_bounds(driver.gauges()));
     let driver = tokio::spawn(driver.run());
-    let (new_address, address) = watch::channel(config.discovery);
-    tokio::spawn(discovery::Watch::new(members, version).run(address));
-    tokio::spawn(follow_configuration(reload, source, new_address));
+    let followed = Followed::start(members, version, &config);
+    tokio::spawn(followed.follow_configuration(reload, source));
     let accepting = tokio::spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
     tokio::select! {
         _ = stop.recv() => {}
@@ -56,15 +57,66 @@
     Ok(())
 }
 
-/// At each SIGHUP, tells where discovery is by the configuration as it is now.
-async fn follow_configuration(mut reload: Signal, source: Source, address: watch::Sender<SocketAddr>) {
-    while reload.recv().await.is_some() {
-        match Config::discovery_anew(&source) {
-            Ok(new) => {
+/// The sources of members, which follow a reload.
+struct Followed {
+    discovery: Option<watch::Sender<SocketAddr>>,
+    etcd: Option<(Etcd, watch::Sender<Settings>)>,
+}
+
+impl Followed {
+    /// Starts the sources. Where there are two, etcd goes before discovery: its first list ends that.
+    fn start(members: Members, version: u64, config: &Config) -> Followed {
+        let discovery = config.discovery.map(|at| {
+            let (to, address) = watch::channel(at);
+            (to, tokio::spawn(discovery::Watch::new(members.clone(), version).run(address)))
+        });
+        let (discovery, rival) = discovery.unzip();
+        let etcd = config.etcd.clone().map(|(etcd, settings)| {
+            let (to, followed) = watch::channel(settings.clone());
+            let (folder, rival) = (etcd.keep.clone(), rival.map(|task| task.abort_handle()));
+            let source =
+                etcd::source::Source::new(members, settings, &etcd.prefix, config.seed, folder, rival);
+            tokio::spawn(source.run(followed));
+            (etcd, to)
+        });
+        Followed { discovery, etcd }
+    }
+
+    /// At each SIGHUP, tells where the list comes from by the configuration as it is now.
+    async fn follow_configuration(self, mut reload: Signal, source: Source) {
+        while reload.recv().await.is_some() {
+            match Config::sources_anew(&source) {
+                Ok(new) => {
+                    self.discovery_moved(new.discovery);
+                    self.etcd_moved(new.etcd);
+                }
+                Err(error) => log(format_args!("configuration kept as it was: {error}")),
+            }
+        }
+    }
+
+    fn discovery_moved(&self, new: Option<SocketAddr>) {
+        match (&self.discovery, new) {
+            (Some(to), Some(new)) => {
                 log(format_args!("discovery is at {new}"));
-                let _ = address.send(new); // nobody follows it once the node ends
+                let _ = to.send(new); // nobody follows it once the node ends, or etcd has taken over
+            }
+            (None, None) => {}
+            _ => log(format_args!("discovery comes or goes only with a restart; kept as it was")),
+        }
+    }
+
+    fn etcd_moved(&self, new: Option<(Etcd, Settings)>) {
+        match (&self.etcd, new) {
+            (Some((old, to)), Some((new, settings))) => {
+                if (&new.prefix, &new.keep) != (&old.prefix, &old.keep) {
+                    log(format_args!("etcd's prefix and keep change only with a restart; kept as they were"));
+                }
+                log(format_args!("etcd is at {}", settings.endpoints.join(", ")));
+                let _ = to.send(settings); // nobody follows it once the node ends
             }
-            Err(error) => log(format_args!("configuration kept as it was: {error}")),
+            (None, None) => {}
+            _ => log(format_args!("etcd comes or goes only with a restart; kept as it was")),
         }
     }
 }
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -5,10 +5,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use toml::Spanned;
-use toml::de::{DeTable, DeValue};
-
 use crate::check::{Mistake, Mistakes, unreadable};
+use crate::etcd::Etcd;
+use crate::section::{self, Section};
 
 /// What the file says.
 #[derive(Debug, Clone, PartialEq)]
@@ -23,6 +22,8 @@
     pub sockets: Option<usize>,
     /// Memory that it may take.
     pub memory_mb: Option<usize>,
+    /// The list of servers from etcd.
+    pub etcd: Option<Etcd>,
 }
 
 impl Options {
@@ -33,32 +34,27 @@
     pub fn read(file: &Path) -> Result<Options, Vec<Mistake>> {
         let text = fs::read_to_string(file).map_err(|error| vec![unreadable(file, &error)])?;
         let mut mistakes = Mistakes::new(file, &text);
-        let options = Options::parse(file, &text, &mut mistakes);
-        let found = mistakes.into_found();
+        let read = Options::parse(file, &text, &mut mistakes);
+        let mut found = mistakes.into_found();
+        let (mut options, etcd) = read.unzip();
+        match etcd.flatten().map(|file| Etcd::read(&file)) {
+            Some(Err(mistakes)) => found.extend(mistakes),
+            Some(Ok(etcd)) => options.iter_mut().for_each(|options| options.etcd = Some(etcd.clone())),
+            None => {}
+        }
         options.filter(|_| found.is_empty()).ok_or(found)
     }
 
-    fn parse(file: &Path, text: &str, mistakes: &mut Mistakes) -> Option<Options> {
-        let table = match DeTable::parse(text) {
-            Ok(table) => table,
-            Err(error) => {
-                let offset = error.span().map_or(0, |span| span.start);
-                mistakes.at(
-                    offset,
-                    "",
-                    format!("no TOML: {}", error.message()),
-                    "write it as deploy/serve.toml does",
-                );
-                return None;
-            }
-        };
-        let table = table.get_ref();
-        let mut root = Section { name: "", table: Some(table), mistakes };
-        root.only(&["node", "resp", "discovery", "limits"]);
+    /// The options, and the file with those for etcd, which is not read here.
+    fn parse(file: &Path, text: &str, mistakes: &mut Mistakes) -> Option<(Options, Option<PathBuf>)> {
+        let table = section::parse(text, "deploy/serve.toml", mistakes)?;
+        let mut root = Section::root(&table, mistakes);
+        root.only(&["node", "resp", "discovery", "limits", "etcd"]);
         let node = root.text("node");
         if node.is_none() && !root.has("node") {
             root.missing("node", "name the platform's JSON file, as in node = \"node.json\"");
         }
+        let etcd = root.text("etcd");
         let mut resp = root.section("resp");
         resp.only(&["listen"]);
         let listen = resp.address("listen");
@@ -70,90 +66,9 @@
         let (sockets, memory_mb) =
             (limits.number("sockets", 48..=1 << 20), limits.number("memory_mb", 16..=1 << 20));
         let folder = file.parent().unwrap_or(Path::new(""));
-        Some(Options { node: folder.join(node?), listen, discovery, sockets, memory_mb })
-    }
-}
-
-/// One table of the file.
-struct Section<'a, 'm, 't> {
-    name: &'static str,
-    table: Option<&'a DeTable<'a>>,
-    mistakes: &'m mut Mistakes<'t>,
-}
-
-impl<'a, 't> Section<'a, '_, 't> {
-    fn field(&self, key: &str) -> String {
-        if self.name.is_empty() { key.to_owned() } else { format!("{}.{key}", self.name) }
-    }
-
-    fn get(&self, key: &str) -> Option<&'a Spanned<DeValue<'a>>> {
-        self.table?.iter().find(|(name, _)| name.get_ref() == key).map(|(_, value)| value)
-    }
-
-    fn has(&self, key: &str) -> bool {
-        self.get(key).is_some()
-    }
-
-    /// Notes each key that is none of these.
-    fn only(&mut self, known: &[&str]) {
-        for (name, _) in self.table.into_iter().flat_map(|table| table.iter()) {
-            let key = name.get_ref();
-            if !known.iter().any(|known| key == known) {
-                let field = self.field(key);
-                let mend = format!("take it out, or write one of {}", known.join(", "));
-                self.mistakes.at(name.span().start, &field, "no such key", mend);
-            }
-        }
-    }
-
-    fn missing(&mut self, key: &str, mend: &str) {
-        let field = self.field(key);
-        self.mistakes.at(0, &field, "missing", mend);
-    }
-
-    fn wrong(&mut self, key: &str, value: &Spanned<DeValue>, what: String, mend: &str) {
-        let field = self.field(key);
-        self.mistakes.at(value.span().start, &field, what, mend);
-    }
-
-    fn section(&mut self, name: &'static str) -> Section<'a, '_, 't> {
-        let value = self.get(name);
-        let table = value.and_then(|value| value.get_ref().as_table());
-        if let Some(value) = value.filter(|_| table.is_none()) {
-            self.wrong(name, value, "not a table".into(), &format!("write [{name}] and its keys below"));
-        }
-        Section { name, table, mistakes: self.mistakes }
-    }
-
-    fn text(&mut self, key: &str) -> Option<&'a str> {
-        let value = self.get(key)?;
-        let text = value.get_ref().as_str();
-        if text.is_none() {
-            self.wrong(key, value, "not a text".into(), "put it in quotes");
-        }
-        text
-    }
-
-    fn address(&mut self, key: &str) -> Option<SocketAddr> {
-        let text = self.text(key)?;
-        let address = text.parse().ok();
-        if let Some(value) = self.get(key).filter(|_| address.is_none()) {
-            let what = format!("{text:?} is no address with a port");
-            self.wrong(key, value, what, "write it as 127.0.0.1:6379 or [::1]:6379");
-        }
-        address
-    }
-
-    fn number(&mut self, key: &str, range: std::ops::RangeInclusive<usize>) -> Option<usize> {
-        let value = self.get(key)?;
-        let number = value.get_ref().as_integer();
-        let number = number.and_then(|n| usize::from_str_radix(&n.as_str().replace('_', ""), n.radix()).ok());
-        let good = number.filter(|n| range.contains(n));
-        if good.is_none() {
-            let mend = format!("write a whole number from {} to {}", range.start(), range.end());
-            self.wrong(key, value, "out of range".into(), &mend);
-        }
-        good
+        let node = folder.join(node?);
+        let options = Options { node, listen, discovery, sockets, memory_mb, etcd: None };
+        Some((options, etcd.map(|file| folder.join(file))))
     }
 }
 
@@ -171,8 +86,9 @@
 
     #[test]
     fn the_documented_file_is_good_and_names_every_key() {
-        let text = include_str!("../../../deploy/serve.toml");
-        let options = read(text).unwrap();
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/serve.toml");
+        let options = Options::read(&file).unwrap();
+        assert!(options.etcd.is_some());
         assert!(options.node.ends_with("node.json"));
         assert!(options.listen.is_some() && options.discovery.is_some());
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
@@ -185,7 +101,7 @@
             ("[limits]", "1: node: missing; name the platform's JSON file, as in node = \"node.json\""),
             (
                 "node = \"n\"\nport = 1",
-                "2: port: no such key; take it out, or write one of node, resp, discovery, limits",
+                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd",
             ),
             ("node = \"n\"\nresp = 1", "2: resp: not a table; write [resp] and its keys below"),
             (
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -3,7 +3,8 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -149,7 +150,10 @@
 pub struct Node {
     child: Child,
     addr: SocketAddr,
-    config: tempfile::NamedTempFile,
+    config: PathBuf,
+    /// What it logs from its second line on; nothing if nobody reads it.
+    log: Option<Receiver<String>>,
+    _folder: Option<tempfile::TempDir>,
 }
 
 /// The settings of the tests: classes of each effect, an origin beside the caches.
@@ -220,16 +224,49 @@
         Node::run(config, &mut program("exec \"$0\""))
     }
 
+    /// A node by the options in a folder, `serve.toml` and what that names.
+    pub fn serving(folder: &Path) -> Node {
+        let mut command = program("exec \"$0\" serve --config \"$CONFIG\"");
+        command.env("CONFIG", folder.join("serve.toml"));
+        let (mut node, log) = Node::begin(&mut command, folder.join("node.json"), None);
+        let (to, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| _ = to.send(line)));
+        node.log = Some(lines);
+        node
+    }
+
     fn run(config: &str, command: &mut Command) -> Node {
-        let file = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(file.path(), config).unwrap();
-        let mut child = command.env("EDGE_CONFIG", file.path()).spawn().unwrap();
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("node.json");
+        std::fs::write(&file, config).unwrap();
+        // Nobody reads the log after its first line, which the node must not mind.
+        Node::begin(command.env("EDGE_CONFIG", &file), file, Some(folder)).0
+    }
+
+    fn begin(
+        command: &mut Command,
+        config: PathBuf,
+        folder: Option<tempfile::TempDir>,
+    ) -> (Node, BufReader<ChildStderr>) {
+        let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut first = String::new();
         log.read_line(&mut first).unwrap();
         let addr = first.trim().strip_prefix("listening on ").expect(&first).parse().unwrap();
-        // From here on nobody reads the log, which the node must not mind.
-        Node { child, addr, config: file }
+        (Node { child, addr, config, log: None, _folder: folder }, log)
+    }
+
+    /// Waits for a line of the log with these words.
+    pub fn logged(&self, words: &str) -> String {
+        let log = self.log.as_ref().expect("a log that is read");
+        let mut seen = Vec::new();
+        loop {
+            match log.recv_timeout(PATIENCE) {
+                Ok(line) if line.contains(words) => return line,
+                Ok(line) => seen.push(line),
+                Err(_) => panic!("no {words:?} in the log, but {seen:#?}"),
+            }
+        }
     }
 }
 
@@ -250,16 +287,21 @@
 
     /// Replaces the configuration by a text, and says so.
     pub fn reload(&self, config: &str) {
-        std::fs::write(self.config.path(), config).unwrap();
+        std::fs::write(&self.config, config).unwrap();
         self.signal("-HUP");
     }
 
     /// The configuration as it is, with this address for discovery.
     pub fn config_with(&self, discovery: SocketAddr) -> String {
-        let text = std::fs::read_to_string(self.config.path()).unwrap();
+        let text = std::fs::read_to_string(&self.config).unwrap();
         text.replacen("{", &format!(r#"{{"discovery":"{discovery}","#), 1)
     }
 
+    /// Has it read its files again, as they are.
+    pub fn reload_files(&self) {
+        self.signal("-HUP");
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
