Tell changes of a storm together, merge whole lists in order, and measure membership

Change: changes that come within 20 ms after others were told are told together; what is held and what was read are gone through once in their order in place of a look-up for each key. The clock that modules are told moved to the core, for both who need it.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -34,7 +34,7 @@
     child: Child,
     /// Where it listens.
     pub addr: SocketAddr,
-    _config: Option<tempfile::NamedTempFile>,
+    _folder: Option<tempfile::TempDir>,
 }
 
 impl Subject {
@@ -43,25 +43,41 @@
     /// # Errors
     /// If it does not come up.
     pub fn node(program: &Path, configuration: &str) -> io::Result<Subject> {
-        let config = tempfile::NamedTempFile::new()?;
-        fs::write(config.path(), configuration)?;
+        let folder = tempfile::tempdir()?;
+        let file = folder.path().join("node.json");
+        fs::write(&file, configuration)?;
         let mut command = Command::new(program);
-        command.env("EDGE_CONFIG", config.path());
-        Subject::start(command, Some(config))
+        command.env("EDGE_CONFIG", file);
+        Subject::start(command, Some(folder))
+    }
+
+    /// Starts a node that follows etcd by these options.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn following(program: &Path, configuration: &str, etcd: &str) -> io::Result<Subject> {
+        let folder = tempfile::tempdir()?;
+        fs::write(folder.path().join("node.json"), configuration)?;
+        fs::write(folder.path().join("etcd.toml"), etcd)?;
+        let options = folder.path().join("serve.toml");
+        fs::write(&options, "node = \"node.json\"\netcd = \"etcd.toml\"\n")?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(options);
+        Subject::start(command, Some(folder))
     }
 
     /// Starts a program that says `listening on ADDRESS` in the first line of its standard error.
     ///
     /// # Errors
     /// If it does not come up.
-    pub fn start(mut command: Command, config: Option<tempfile::NamedTempFile>) -> io::Result<Subject> {
+    pub fn start(mut command: Command, folder: Option<tempfile::TempDir>) -> io::Result<Subject> {
         let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
         let mut first = String::new();
         BufReader::new(log).read_line(&mut first)?;
         let addr = first.trim().strip_prefix("listening on ").and_then(|addr| addr.parse().ok());
         let addr = addr.ok_or_else(|| io::Error::other(format!("did not come up: {first}")))?;
-        Ok(Subject { child, addr, _config: config })
+        Ok(Subject { child, addr, _folder: folder })
     }
 
     /// Nanoseconds that its one thread has spent on a core.
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use paddlefold::setup::Setup;
 use paddlefold::{
@@ -18,6 +18,7 @@
 
 use crate::attempt;
 use crate::call::{Answer, Call};
+use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::members::{List, Members};
 use crate::requests::Requests;
@@ -81,22 +82,6 @@
     Sweep,
 }
 
-/// Time since 1970, which never goes back.
-struct Clock {
-    start: Instant,
-    offset: Duration,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset }
-    }
-    fn now(&self) -> Micros {
-        (self.offset + self.start.elapsed()).as_micros() as Micros
-    }
-}
-
 /// What a driver holds.
 #[derive(Debug, Default)]
 pub struct Gauges {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod attempt;
 mod call;
+mod clock;
 mod directory;
 mod driver;
 mod members;
@@ -20,6 +21,7 @@
 mod upstream;
 
 pub use call::{Answer, Call, CallError, VALUE_LIMIT};
+pub use clock::Clock;
 pub use driver::{Driver, Gauges, Options};
 pub use members::{Entry, List, Members, State};
 pub use paddlefold::{Micros, Outcome};
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -35,6 +35,8 @@
     pub delay: Duration,
     /// How many endpoints of etcd there are; it lists the same servers as discovery. 0 is no etcd.
     pub etcd: usize,
+    /// How many servers more are listed, as draining, that nobody meets: for the length of the list.
+    pub ghosts: usize,
     /// Whether what comes is recorded.
     pub recorded: bool,
 }
@@ -61,6 +63,7 @@
             },
             delay: Duration::ZERO,
             etcd: 0,
+            ghosts: 0,
             recorded: true,
         }
     }
@@ -240,6 +243,11 @@
         let (boxes, later) = Default::default();
         let mut servers = Servers { plan, log, missed, boxes, origin, discovery, etcd, started: 0, later };
         servers.list(listed);
+        for n in 0..servers.plan.ghosts {
+            let state = Told::Draining;
+            let ghost = Listed::new(&format!("ghost-{n}"), (Ipv4Addr::LOCALHOST, 9).into(), "standard");
+            servers.list(Listed { state, ..ghost });
+        }
         for n in 0..servers.plan.boxes {
             servers.enter(&format!("box-{n}"), (Ipv4Addr::LOCALHOST, 0).into(), false).await?;
         }
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -108,6 +108,9 @@
     /// For all random choices
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// Endpoints of a stand-in etcd; the node follows that in place of discovery
+    #[arg(long, value_name = "ENDPOINTS", default_value_t = 0)]
+    pub etcd: usize,
     /// What goes wrong and when, in TOML; docs/fleet.md has an example
     #[arg(long, value_name = "FILE")]
     pub script: Option<PathBuf>,
--- a/crates/lilacquay/src/fleet.rs
+++ b/crates/lilacquay/src/fleet.rs
@@ -21,6 +21,9 @@
 /// Between word of a drain and the last thing sent, in microseconds, by the fleet's settings.
 const GRACE: u64 = 500_000;
 
+/// The node's options for etcd, in its folder.
+const ETCD: &str = "etcd.toml";
+
 /// Runs a fleet and a node until it is told to end.
 pub fn run(args: FleetArgs) -> io::Result<()> {
     let script = match &args.script {
@@ -30,7 +33,8 @@
     // Guards against: a node left behind by a signal that comes while it starts.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let signals = runtime.block_on(async { Signals::new() })?;
-    let fleet = Fleet::start(Plan { boxes: args.boxes, seed: args.seed, ..Plan::default() })?;
+    let fleet =
+        Fleet::start(Plan { boxes: args.boxes, seed: args.seed, etcd: args.etcd, ..Plan::default() })?;
     let (mut node, addr) = Node::start(&fleet, args.listen)?;
     introduce(&fleet, &node, addr)?;
     runtime.block_on(async {
@@ -56,15 +60,25 @@
 /// The node's process. It ends with this value.
 struct Node {
     child: Child,
-    _config: tempfile::NamedTempFile,
+    folder: tempfile::TempDir,
 }
 
 impl Node {
     fn start(fleet: &Fleet, listen: SocketAddr) -> io::Result<(Node, SocketAddr)> {
-        let mut config = tempfile::NamedTempFile::new()?;
-        config.write_all(fleet.configuration(listen, SOCKETS).as_bytes())?;
-        let mut child = Command::new(std::env::current_exe()?)
-            .env("EDGE_CONFIG", config.path())
+        let folder = tempfile::tempdir()?;
+        let json = folder.path().join("node.json");
+        std::fs::write(&json, fleet.configuration(listen, SOCKETS))?;
+        let mut command = Command::new(std::env::current_exe()?);
+        match fleet.etcd_options() {
+            None => command.env("EDGE_CONFIG", json),
+            Some(etcd) => {
+                std::fs::write(folder.path().join(ETCD), etcd)?;
+                let options = folder.path().join("serve.toml");
+                std::fs::write(&options, format!("node = \"node.json\"\netcd = \"{ETCD}\"\n"))?;
+                command.arg("serve").arg("--config").arg(options)
+            }
+        };
+        let mut child = command
             .env_remove("EDGE_LISTEN")
             .env_remove("EDGE_DISCOVERY")
             .stderr(Stdio::piped())
@@ -74,7 +88,7 @@
         let mut log = BufReader::new(log);
         let mut first = String::new();
         log.read_line(&mut first)?;
-        let node = Node { child, _config: config };
+        let node = Node { child, folder };
         let addr = first.trim().strip_prefix("listening on ").and_then(|addr| addr.parse().ok());
         let addr =
             addr.ok_or_else(|| io::Error::other(format!("the node did not start: {}", first.trim())))?;
@@ -146,6 +160,9 @@
     }
     writeln!(out, "{:<10} {}", "origin", fleet.origin)?;
     writeln!(out, "{:<10} {}", "discovery", fleet.discovery)?;
+    for endpoint in fleet.etcd.iter().flat_map(|etcd| &etcd.endpoints) {
+        writeln!(out, "{:<10} {endpoint}", "etcd")?;
+    }
     writeln!(out, "{:<10} {addr} (process {})", "node", node.child.id())?;
     let asked = Instant::now();
     let answer = ask(addr)?;
@@ -153,6 +170,10 @@
     writeln!(out, "\nCACHE.GET calendar:12 first c=lookup,d=1000  ->  {answer:?} in {took:.1} ms")?;
     let program = std::env::current_exe()?;
     writeln!(out, "\nTo load it:  {} load --to {addr} --rate 300 --for 10s", program.display())?;
+    if fleet.etcd.is_some() {
+        let options = node.folder.path().join(ETCD);
+        writeln!(out, "To list it:  {} members --etcd {}", program.display(), options.display())?;
+    }
     writeln!(out, "Ctrl-C ends all.")?;
     out.flush()
 }
--- a/crates/lilacquay/tests/cli.rs
+++ b/crates/lilacquay/tests/cli.rs
@@ -105,6 +105,16 @@
     std::fs::write(&json, right.replace("\"seed\":\"1\"", "\"seed\":\"x\"").replace("\"safe\"", "\"sure\""))
         .unwrap();
     assert!(text(&check(&options)).contains("2 to mend"));
+    // And for the file that the options name for etcd.
+    let etcd = folder.path().join("etcd.toml");
+    std::fs::write(&options, "node = \"node.json\"\netcd = \"etcd.toml\"\n").unwrap();
+    std::fs::write(&json, &right).unwrap();
+    std::fs::write(&etcd, "endpoints = [\"http://127.0.0.1:2379\"]\n").unwrap();
+    assert!(check(&options).status.success() && check(&etcd).status.success());
+    std::fs::write(&etcd, "endpoints = [\"https://127.0.0.1:2379\"]\n[tls]\nca = \"none.pem\"\n").unwrap();
+    assert!(text(&check(&etcd)).contains("none.pem: cannot be read"));
+    std::fs::write(&etcd, "endpoints = [\"127.0.0.1:2379\"]\n").unwrap();
+    assert!(text(&check(&options)).contains("etcd.toml:1: endpoints: \"127.0.0.1:2379\" is no address"));
     let missing = check(&folder.path().join("none.toml"));
     assert!(text(&missing).contains("cannot be read"));
 }
@@ -140,6 +150,33 @@
     assert!(TcpStream::connect(addr).is_err(), "the node has ended with it");
 }
 
+#[test]
+fn a_fleet_with_etcd_has_a_node_that_follows_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let script = folder.path().join("script.toml");
+    let steps = "[[step]]\nat = \"0s\"\ndo = \"drain\"\nserver = \"box-1\"\n\
+                 [[step]]\nat = \"0s\"\ndo = \"compact\"\n\
+                 [[step]]\nat = \"0s\"\ndo = \"etcd\"\nfaults = { late_ms = 5 }\n";
+    std::fs::write(&script, steps).unwrap();
+    let words = ["fleet", "--boxes", "2", "--etcd", "2", "--script", script.to_str().unwrap()];
+    let mut fleet = Running(lilacquay(&words).spawn().unwrap());
+    let mut log = BufReader::new(fleet.0.stderr.take().unwrap()).lines().map(Result::unwrap);
+    let mut lines = BufReader::new(fleet.0.stdout.take().unwrap()).lines().map(Result::unwrap);
+    let mut line = |wanted: &str| lines.find(|line| line.contains(wanted)).expect("a line");
+    let (answer, list) = (line("CACHE.GET"), line("To list it"));
+    assert!(answer.contains("first calendar:12 v1"), "{answer}");
+    assert!(log.any(|line| line.contains("etcd goes before discovery")));
+    line("Etcd"); // the script's last step
+    let file = list.split_whitespace().last().unwrap();
+    let listed = lilacquay(&["members", "--etcd", file]).output().unwrap();
+    let listed = text(&listed);
+    assert!(listed.starts_with("revision 5, 0 s old") && listed.contains("draining"), "{listed}");
+    let id = fleet.0.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &id]).status().unwrap().success());
+    assert!(line("rules broken").ends_with(" 0"));
+    assert!(fleet.0.wait().unwrap().success());
+}
+
 #[test]
 fn a_fleet_told_to_end_while_it_starts_leaves_no_node_behind() {
     let mut fleet = Running(lilacquay(&["fleet", "--boxes", "1"]).spawn().unwrap());
--- a/crates/members/src/etcd/follower.rs
+++ b/crates/members/src/etcd/follower.rs
@@ -8,14 +8,13 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use lilacquay_core::{Entry, List, State};
+use lilacquay_core::{Entry, List, Micros, State};
 use lilacquay_etcd::api::event::EventType;
 use lilacquay_etcd::api::{
     self, KeyValue, RangeRequest, RangeResponse, ResponseHeader, WatchCreateRequest, WatchResponse,
 };
 use lilacquay_etcd::{Fault, end_of};
 
-use super::Micros;
 use super::kept::Kept;
 use super::layout;
 
@@ -57,7 +56,7 @@
     Note(Note),
 }
 
-/// A list, whole or what has changed in one revision, and where it stands in the store's history.
+/// A list, whole or what has changed, and where it stands in the store's history.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Change {
     /// What to tell.
@@ -135,6 +134,8 @@
     pub resume: Micros,
     /// After so long a watch has shown that it works, and failures count from the start.
     pub settled: Micros,
+    /// Changes that come sooner than this after others were told are told together.
+    pub gather: Micros,
     /// A changed list is kept so often at most ...
     pub keep: Micros,
     /// ... and one that has not changed so often, for its age.
@@ -144,7 +145,8 @@
 }
 
 impl Default for Pace {
-    /// Silence is noticed after 3 s, as discovery's.
+    /// Silence is noticed after 3 s, as discovery's. Changes wait for one another for a part of the time that a
+    /// server may be sent to after word: to tell the core costs by the length of the list.
     fn default() -> Self {
         Pace {
             page: 500,
@@ -155,6 +157,7 @@
             longest_wait: 5_000_000,
             resume: 5_000_000,
             settled: 2_000_000,
+            gather: 20_000,
             keep: 1_000_000,
             keep_unchanged: 30_000_000,
             most: 20_000,
@@ -248,8 +251,11 @@
     rng: fastrand::Rng,
     held: Option<Held>,
     history: u32,
-    /// Whether the core has the list that is held.
+    /// Whether the core has a list.
     told: bool,
+    /// The servers of which the core does not know the newest yet, each as it knows it.
+    untold: BTreeMap<String, Option<Entry>>,
+    told_at: Micros,
     phase: Phase,
     call: u64,
     endpoint: usize,
@@ -279,6 +285,8 @@
             held,
             history: 0,
             told: false,
+            untold: BTreeMap::new(),
+            told_at: 0,
             phase: Phase::Resting { until: 0, whole: true },
             call: 0,
             endpoint: rng.usize(..endpoints),
@@ -303,7 +311,8 @@
                 Some(asked) => asked + self.pace.dead,
             },
         };
-        self.keep_due().map_or(call, |keep| keep.min(call))
+        let others = [self.keep_due(), self.tell_due()];
+        others.into_iter().flatten().fold(call, Micros::min)
     }
 
     /// The list held, as it is kept.
@@ -333,12 +342,19 @@
                 self.read(now, out);
             }
         }
+        if self.tell_due().is_some_and(|due| due <= now) {
+            self.tell(now, out);
+        }
         if self.keep_due().is_some_and(|due| due <= now) {
             (self.unkept, self.kept_at) = (false, now);
             out.push(Action::Keep);
         }
     }
 
+    fn tell_due(&self) -> Option<Micros> {
+        (self.told && !self.untold.is_empty()).then_some(self.told_at + self.pace.gather)
+    }
+
     fn keep_due(&self) -> Option<Micros> {
         let wanted = self.keeps && self.call > 0 && self.held.as_ref().is_some_and(|held| held.revision > 0);
         let every = if self.unkept { self.pace.keep } else { self.pace.keep_unchanged };
@@ -351,7 +367,7 @@
         if let (false, Some(held)) = (self.told, &self.held) {
             let age = now.saturating_sub(held.as_of);
             out.push(Action::Note(Note::Kept(held.revision, held.items.len(), age)));
-            self.tell_whole(out);
+            self.tell_whole(now, out);
         }
         let (answer, dead) = (self.pace.answer, self.pace.dead);
         match &mut self.phase {
@@ -512,26 +528,28 @@
         }
         self.rumours = 0;
         let mut items = range.items;
-        let before = self.held.take().unwrap_or_default().items;
-        let mut changed = Vec::new();
+        // Both are in order of their ids, and gone through once: a look-up for each would hold the thread for long.
+        let mut before = self.held.take().unwrap_or_default().items.into_iter().peekable();
         for (id, item) in &mut items {
-            let old = before.get(id);
-            item.keep_of(id, old, out);
-            if item.entry.is_some() && item.entry.as_ref() != old.and_then(|old| old.entry.as_ref()) {
-                changed.extend(item.entry.clone());
+            while let Some((id, old)) = before.next_if(|(other, _)| other < id) {
+                note_untold(&mut self.untold, &id, Some(old), None);
             }
+            let old = before.next_if(|(other, _)| other == id).map(|(_, old)| old);
+            item.keep_of(id, old.as_ref(), out);
+            note_untold(&mut self.untold, id, old, item.entry.as_ref());
+        }
+        for (id, old) in before {
+            note_untold(&mut self.untold, &id, Some(old), None);
         }
-        let gone = before.into_iter().filter(|(id, _)| !items.contains_key(id));
-        changed.extend(gone.filter_map(|(_, old)| old.entry).map(deleted));
         let (cluster, revision) = (range.cluster, range.revision);
         let servers = items.len();
         self.held = Some(Held { cluster, revision, as_of: range.since, items });
         self.unkept = true;
-        out.push(Action::Note(Note::Following(revision, servers, self.endpoint)));
         match self.told {
-            true => self.tell(changed, out),
-            false => self.tell_whole(out),
+            true => self.tell(now, out),
+            false => self.tell_whole(now, out),
         }
+        out.push(Action::Note(Note::Following(revision, servers, self.endpoint)));
         self.watch(now, true, out);
     }
 
@@ -542,15 +560,27 @@
         self.rumours >= self.endpoints.max(2)
     }
 
-    fn tell_whole(&mut self, out: &mut Vec<Action>) {
-        self.told = true;
+    fn tell_whole(&mut self, now: Micros, out: &mut Vec<Action>) {
+        (self.told, self.told_at) = (true, now);
+        self.untold.clear();
         let items = self.held.iter().flat_map(|held| held.items.values());
         let servers = items.filter_map(|item| item.entry.clone()).collect();
         self.push_change(List { full: true, servers }, out);
     }
 
-    fn tell(&mut self, servers: Vec<Entry>, out: &mut Vec<Action>) {
+    /// Tells what the core does not know, as one change.
+    fn tell(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(held) = &self.held else { return };
+        let now_as = |id: &String| held.items.get(id).and_then(|item| item.entry.clone());
+        let changed =
+            std::mem::take(&mut self.untold).into_iter().filter_map(|(id, known)| match now_as(&id) {
+                entry if entry == known => None,
+                Some(entry) => Some(entry),
+                None => known.map(|known| Entry { state: State::Deleted, ..known }),
+            });
+        let servers: Vec<Entry> = changed.collect();
         if !servers.is_empty() {
+            self.told_at = now;
             self.push_change(List { full: false, servers }, out);
         }
     }
@@ -660,21 +690,15 @@
         for Told { id, item, .. } in changes {
             net.insert(id, item);
         }
-        let mut changed = Vec::new();
         for (id, item) in net {
+            let old = held.items.remove(&id);
             match item {
                 Some(mut item) => {
-                    let old = held.items.get(&id);
-                    item.keep_of(&id, old, out);
-                    if item.entry.as_ref() != old.and_then(|old| old.entry.as_ref()) {
-                        changed.extend(item.entry.clone());
-                    }
+                    item.keep_of(&id, old.as_ref(), out);
+                    note_untold(&mut self.untold, &id, old, item.entry.as_ref());
                     held.items.insert(id, item);
                 }
-                None => {
-                    let old = held.items.remove(&id);
-                    changed.extend(old.and_then(|old| old.entry).map(deleted));
-                }
+                None => note_untold(&mut self.untold, &id, old, None),
             }
         }
         (held.revision, held.as_of) = (revision, now);
@@ -682,7 +706,6 @@
             return Err("the list has too many servers");
         }
         (self.unkept, self.failures) = (true, 0);
-        self.tell(changed, out);
         Ok(())
     }
 }
@@ -737,16 +760,27 @@
     /// Whether a whole list can't be of the same history: it is of another cluster, older than what is held, or
     /// has a key otherwise than all changes up to the revision held have left it.
     fn contradicts(&self, range: &Ranging) -> bool {
-        let otherwise = |(id, item): (&String, &Item)| match self.items.get(id) {
-            Some(old) => item.revision <= self.revision && item.revision != old.revision,
-            // What could never be read is not kept on a disk.
-            None => item.revision <= self.revision && range.revision == self.revision && item.entry.is_some(),
-        };
-        let lost = || self.items.keys().any(|id| !range.items.contains_key(id));
-        range.cluster != self.cluster
-            || range.revision < self.revision
-            || range.items.iter().any(otherwise)
-            || (range.revision == self.revision && lost())
+        if range.cluster != self.cluster || range.revision < self.revision {
+            return true;
+        }
+        let same = range.revision == self.revision;
+        let mut held = self.items.iter().peekable();
+        for (id, item) in &range.items {
+            while held.next_if(|(other, _)| *other < id).is_some() {
+                if same {
+                    return true; // lost
+                }
+            }
+            let otherwise = match held.next_if(|(other, _)| *other == id) {
+                Some((_, old)) => item.revision <= self.revision && item.revision != old.revision,
+                // What could never be read is not kept on a disk.
+                None => item.revision <= self.revision && same && item.entry.is_some(),
+            };
+            if otherwise {
+                return true;
+            }
+        }
+        same && held.next().is_some()
     }
 
     /// Whether a change of a revision held is in the list.
@@ -768,8 +802,17 @@
     }
 }
 
-fn deleted(entry: Entry) -> Entry {
-    Entry { state: State::Deleted, ..entry }
+/// Notes that the core does not know a server's newest entry, with the entry that it knows.
+fn note_untold(
+    untold: &mut BTreeMap<String, Option<Entry>>,
+    id: &str,
+    old: Option<Item>,
+    new: Option<&Entry>,
+) {
+    let old = old.and_then(|old| old.entry);
+    if old.as_ref() != new && !untold.contains_key(id) {
+        untold.insert(id.to_owned(), old);
+    }
 }
 
 /// Reads a key and its value; nothing for a key that names no server, which is said once.
@@ -826,7 +869,7 @@
 
 /// Words from outside, for the log: one line of bounded length.
 fn words(text: &str) -> String {
-    text.chars().take(200).flat_map(char::escape_debug).collect()
+    text.chars().take(200).map(|c| if c.is_control() { ' ' } else { c }).collect()
 }
 
 #[cfg(test)]
--- a/crates/members/src/etcd/kept.rs
+++ b/crates/members/src/etcd/kept.rs
@@ -7,12 +7,11 @@
 use std::io::{self, Write};
 use std::path::Path;
 
-use lilacquay_core::Entry;
+use lilacquay_core::{Entry, Micros};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Micros;
 use super::layout;
 
 /// The name of the file in its folder.
--- a/crates/members/src/etcd/mod.rs
+++ b/crates/members/src/etcd/mod.rs
@@ -8,6 +8,3 @@
 pub mod layout;
 pub mod registry;
 pub mod source;
-
-/// Microseconds since 1970, or a duration of so many.
-pub type Micros = u64;
--- a/crates/members/src/etcd/source.rs
+++ b/crates/members/src/etcd/source.rs
@@ -2,17 +2,15 @@
 
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use lilacquay_core::{Members, log};
+use lilacquay_core::{Clock, Members, log};
 use lilacquay_etcd::api::{RangeRequest, WatchCreateRequest};
 use lilacquay_etcd::{Asker, Client, Error, Settings};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle, spawn_blocking};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep_until;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::Micros;
 use super::follower::{Action, Call, Event, Follower, Note, Options};
 use super::kept::Kept;
 
@@ -40,27 +38,6 @@
 /// The client in use, with its endpoint's number.
 type Connected = Arc<Mutex<Option<(usize, Client)>>>;
 
-/// Unix time, which never goes back.
-struct Clock {
-    start: Instant,
-    offset: Duration,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let offset = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset }
-    }
-
-    fn now(&self) -> Micros {
-        (self.offset + self.start.elapsed()).as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at).saturating_sub(self.offset)
-    }
-}
-
 impl Source {
     /// A source by these settings. With a folder, the list is kept there, and what is kept there serves until the
     /// store has been heard. The first list ends the rival, if there is one.
--- a/crates/members/tests/model.rs
+++ b/crates/members/tests/model.rs
@@ -5,12 +5,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use lilacquay_core::{Entry, State};
+use lilacquay_core::{Entry, Micros, State};
 use lilacquay_etcd::Fault;
 use lilacquay_etcd::api::{WatchCreateRequest, WatchResponse};
 use lilacquay_fleet::etcd::Store;
 use lilacquay_fleet::etcd::store::{Change as Write, Refused};
-use lilacquay_members::etcd::Micros;
 use lilacquay_members::etcd::follower::{Action, Call, Change, Event, Follower, Options, Pace};
 use lilacquay_members::etcd::kept::Kept;
 
