Weigh misses and zones against the queue, from the prices and from what caches hold

Ruled out: copies (a tenth of their budget changes nothing) and any fixed charge per rank (what helps one site hurts the other).

At fault were `pick` and `candidates`: a rank counted 0.6 of a request in flight whatever a miss costs, a set of three drew far caches in as equals where the own zone has fewer, and a far cache was asked for keys that it never holds.

Now `cost.rs` reckons, as parts of the read's worth, the queue (half of the usual time a request in flight), the way (its price) and the fetch (its time and its way) times the chance of a miss; `holders.rs` remembers in bounds which caches hold which keys and learns how often that is right, by age. A read is fetched at once where asking a cache is worth less than it takes: far caches, and keys nobody asked for within the time that caches keep keys, which drove out what is wanted again. An origin that strains is spared.

--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -1,9 +1,9 @@
 //! Every decision of paddlefold. The interface it speaks is `src/api.rs`; its books are `src/state.rs`.
 //!
-//! The ordinary path: `arrive` and `advance` bring a read to `pick`, which takes from its key's candidate set
-//! (`candidates`) the cache with fewest of our requests in flight; `hedge` adds a copy where there is idle
-//! room; `outcome` lets the first served answer win, and only when all that were asked have missed does the
-//! read go to the origin. All else are exceptions, each with what it guards against. Every send passes
+//! The ordinary path: `arrive` and `advance` bring a read to `pick` (`src/cost.rs`), which takes from its
+//! key's candidate set (`candidates`) the cache where it loses least; `hedge` adds a copy where there is
+//! idle room; `outcome` lets the first served answer win, and only when all that were asked have missed does
+//! the read go to the origin. All else are exceptions, each with what it guards against. Every send passes
 //! `send`, every final answer `finish`.
 
 use std::collections::{BTreeMap, HashMap};
@@ -11,15 +11,17 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::api::*;
+use crate::holders::*;
 use crate::state::*;
 
+#[path = "cost.rs"]
+mod cost;
 #[path = "health.rs"]
 mod health;
+use cost::Pick;
 
 /// Caches in a key's candidate set.
 const SET: usize = 3;
-/// Requests in flight that one rank is worth: below 1, to break ties only.
-const AFFINITY: f64 = 0.6;
 /// A cache this many times slower than its fellows has no idle room.
 const SLOW: f64 = 3.0;
 /// Copies and further tries that one request earns, and most that are saved up.
@@ -62,6 +64,7 @@
     zones: BTreeMap<u32, Reach>, // how the zones answer
     kinds: BTreeMap<u32, Pace>,  // how quick the kinds of machines are
     idle_time: Micros,           // how long a connection of ours may idle
+    holders: Holders,
     copies: f64,
     retries: f64,
     /// Fetches that are out or wait for a place, by key, with those who wait for them.
@@ -90,6 +93,7 @@
             zones: BTreeMap::new(),
             kinds: BTreeMap::new(),
             idle_time: (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros,
+            holders: Holders::new(),
             copies: 1.0,
             retries: SAVED / 2.0,
             flights: HashMap::new(),
@@ -178,6 +182,7 @@
         open.class = class.unwrap_or(self.settings.classes.len());
         open.aim = told.map_or(request.budget, |c| c.aim);
         open.worth = self.worth(&request);
+        open.recent = self.holders.asked(key, self.now);
         self.open.insert(id, open);
         self.copies = (self.copies + COPY_SHARE).min(SAVED);
         self.retries = (self.retries + RETRY_SHARE).min(SAVED);
@@ -192,25 +197,32 @@
         }
         r.wait = Wait::Nothing;
         let (stored, again) = (r.stored, !r.tries.is_empty() && r.stored.is_none());
-        let (aside, most, class) = (self.settings.mode == Mode::Aside, self.settings.max_attempts, r.class);
-        if self.now + self.settings.quantum >= r.deadline || r.tries.len() >= most {
-            self.finish(id, out);
-        } else if aside && (r.write || r.missed() && stored.is_none()) {
+        let (aside, most) = (self.settings.mode == Mode::Aside, self.settings.max_attempts);
+        let late = self.now + self.settings.quantum >= r.deadline;
+        if late || r.tries.len() >= most {
+            return self.finish(id, out);
+        }
+        if aside && (r.write || r.missed() && stored.is_none()) {
+            return self.fetch(id, out);
+        }
+        if again && self.retries < 1.0 && !r.write {
+            return self.finish(id, out); // a failing fleet is not asked much more than a healthy one
+        }
+        let pick = self.pick(id);
+        if pick.as_ref().is_some_and(|p| p.vain) {
             self.fetch(id, out);
-        } else if again && self.retries < 1.0 && !r.write {
-            self.finish(id, out); // a failing fleet is not asked much more than a healthy one
-        } else if self.gates[CACHES].full() && !self.pick(id).is_some_and(|s| self.idle(s, class)) {
+        } else if self.gates[CACHES].full() && !pick.as_ref().is_some_and(|p| p.idle) {
             self.queue(CACHES, id, out); // slow caches may hold all places: idle room needs none
         } else {
             self.retries -= if again { 1.0 } else { 0.0 };
-            self.ask_cache(id, out);
+            self.ask_cache(id, pick, out);
         }
     }
 
-    fn ask_cache(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn ask_cache(&mut self, id: RequestId, pick: Option<Pick>, out: &mut Vec<Action>) {
         let Some(stored) = self.open.get_mut(&id).map(|r| r.stored.take()) else { return };
-        let sent = stored.is_some_and(|server| self.send(id, server, out))
-            || self.pick(id).map(|s| s.member.id).is_some_and(|server| self.send(id, server, out));
+        let sent = stored.is_some_and(|server| self.send(id, server, None, out))
+            || pick.is_some_and(|p| self.send(id, p.to, Some(p.known), out));
         if !sent && self.settings.mode == Mode::Aside && self.open[&id].repeatable() {
             self.fetch(id, out); // no cache can take it
         } else if !sent {
@@ -218,20 +230,10 @@
         }
     }
 
-    /// Of the key's candidates, the one with fewest of our requests in flight.
-    fn pick(&self, id: RequestId) -> Option<&Server> {
-        let r = &self.open[&id];
-        // One that was tried before only if all were.
-        let tried = |s: &Server| if r.tried(s.member.id) { 1e9 } else { 0.0 };
-        let cost = |(rank, s): &(usize, &Server)| tried(s) + self.load(s) + AFFINITY * *rank as f64;
-        self.candidates(r.key).into_iter().enumerate().min_by(|a, b| cost(a).total_cmp(&cost(b))).map(|c| c.1)
-    }
-
     /// The key's set: the caches that rank highest when it is hashed with each server's id.
     /// Unusable caches slide it to the next rank.
     fn candidates(&self, key: u64) -> Vec<&Server> {
-        // The own zone first, where crossing has a price: a point of it is not worth splitting the sets.
-        let near = (100.0 * self.settings.cross_zone_price).powf(1.5).max(1.0);
+        let near = self.nearness();
         let mut ranked: Vec<(f64, &Server)> = Vec::with_capacity(self.servers.len());
         for s in self.servers.values().filter(|s| s.is_cache()) {
             let hash = xxh3_64_with_seed(&key.to_le_bytes(), s.member.id.0.into());
@@ -249,18 +251,14 @@
         let well = |s: &&Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
         let usable = |s: &&Server| well(s) && self.allowance(s) >= 1.0 && !self.cut_off(s);
         let ranked = || ranked.iter().map(|&(_, s)| s);
-        let set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
+        let mut set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
+        // Guards against: a zone with more traffic than its own caches can carry.
+        if !set.iter().any(|s| self.abroad(s)) {
+            set.extend(ranked().find(|s| usable(s) && self.abroad(s)));
+        }
         if set.is_empty() { ranked().take(SET).collect() } else { set }
     }
 
-    /// Our requests in flight at a cache, in the time that they take there.
-    fn load(&self, s: &Server) -> f64 {
-        // A cache not yet heard from counts at the others' mean, never idle.
-        let mean = self.gates[CACHES].out as f64 / self.caches.max(1) as f64;
-        let held = (s.out.len() as f64).max(if s.heard.is_none() { mean } else { 0.0 });
-        (held + 1.0) * s.slowness
-    }
-
     /// A copy of a late read, where another candidate has idle room and neither fleet nor origin strains.
     fn hedge(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get(&id).filter(|r| !r.settled) else { return };
@@ -277,9 +275,9 @@
         let lost = first.lost.iter().any(|l| l.0 == id);
         let overdue = (lost || self.suspect(first)) && !self.gates[CACHES].full() && self.retries >= 1.0;
         let further = others.first().filter(|_| overdue).map(|s| s.member.id);
-        if room.is_some_and(|to| self.send(id, to, out)) {
+        if room.is_some_and(|to| self.send(id, to, None, out)) {
             self.copies -= 1.0;
-        } else if further.is_some_and(|to| self.send(id, to, out)) {
+        } else if further.is_some_and(|to| self.send(id, to, None, out)) {
             self.retries -= 1.0;
         } else if self.open[&id].deadline > self.now + self.settings.quantum {
             let (r, usual) = (&self.open[&id], self.timings[self.open[&id].class].late(4.0));
@@ -288,12 +286,6 @@
         }
     }
 
-    /// Idle room: nothing of ours out, and about as quick as all are when uncongested.
-    fn idle(&self, s: &Server, class: usize) -> bool {
-        let timing = &self.timings[class];
-        s.out.is_empty() && s.slowness * timing.mean < SLOW / 2.0 * timing.base
-    }
-
     fn may_copy(&self, r: &Open) -> bool {
         self.settings.second_copies && r.repeatable() && !r.streaming
     }
@@ -309,6 +301,7 @@
         let at_origin = self.servers.get(&to).is_some_and(|s| s.member.origin);
         let landed = r.leads && at_origin;
         r.leads &= !landed;
+        self.recall(&end);
         let lost = self.observe(&end, to);
         if end.settled {
             self.end(id, out);
@@ -351,7 +344,7 @@
             self.wake(id, self.gates[ORIGIN].timing.mean as Micros, out);
         } else if self.gates[ORIGIN].full() {
             self.queue(ORIGIN, id, out);
-        } else if !self.send(id, origin, out) {
+        } else if !self.send(id, origin, None, out) {
             self.finish(id, out);
         }
     }
@@ -370,8 +363,8 @@
         while !self.gates[gate].full() {
             let Some((_, _, id)) = self.gates[gate].queue.pop_first() else { return };
             match self.origin.filter(|_| gate == ORIGIN) {
-                Some(origin) if self.send(id, origin, out) => {}
-                None if gate == CACHES => self.ask_cache(id, out),
+                Some(origin) if self.send(id, origin, None, out) => {}
+                None if gate == CACHES => self.ask_cache(id, self.pick(id), out),
                 _ => self.finish(id, out),
             }
         }
@@ -445,7 +438,7 @@
     // ---- what every send and every final answer passes ----
 
     /// Every send. Says whether it was allowed.
-    fn send(&mut self, id: RequestId, to: ServerId, out: &mut Vec<Action>) -> bool {
+    fn send(&mut self, id: RequestId, to: ServerId, known: Option<Known>, out: &mut Vec<Action>) -> bool {
         let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
         let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
         // Guards against: reads refused untried because their clients have grown impatient.
@@ -476,6 +469,7 @@
         let (left, suspect, origin) = (r.deadline - self.now, self.suspect(s), s.member.origin);
         let (hedge_in, due_in) = (timing.late(4.0), timing.late(6.0).max(1));
         let hedges = self.may_copy(r) && r.outstanding() == 0 && !origin && hedge_in < left;
+        let known = known.unwrap_or_else(|| self.known(r, s, SET));
         let s = self.servers.get_mut(&to).expect("looked up above");
         let r = self.open.get_mut(&id).expect("looked up above");
         s.allowance = (allowance - 1.0, self.now);
@@ -487,7 +481,14 @@
         s.out.insert((self.now + due_in, id, r.tries.len()));
         self.gates[usize::from(origin)].out += 1;
         r.wait = Wait::Nothing;
-        r.tries.push(Try { server: to, sent: self.now, out: true, may_have_run: false, missed: false });
+        r.tries.push(Try {
+            server: to,
+            sent: self.now,
+            out: true,
+            may_have_run: false,
+            missed: false,
+            known,
+        });
         out.push(Action::Send { id, server: to, timeout: left });
         if hedges {
             self.wake(id, hedge_in, out);
--- a/crates/paddlefold/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 mod api;
 mod brain;
+mod holders;
 pub mod setup;
 mod state;
 pub mod wire;
--- a/crates/paddlefold/src/state.rs
+++ b/crates/paddlefold/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
+use crate::holders::Known;
 
 /// A rate, from a sum that decays with `tau` microseconds.
 pub(crate) struct Rate {
@@ -231,6 +232,8 @@
     pub out: bool,
     pub may_have_run: bool,
     pub missed: bool,
+    /// What was known of its key at that cache.
+    pub known: Known,
 }
 
 /// What a request without an attempt out waits for.
@@ -261,6 +264,8 @@
     pub ticket: Ticket,
     /// It fetches its key for others too.
     pub leads: bool,
+    /// Its key was asked for before, within the time that caches keep keys.
+    pub recent: bool,
     /// Where a fetch it waited for has stored the value.
     pub stored: Option<ServerId>,
     pub settled: bool,
@@ -283,6 +288,7 @@
             ticket: (0, 0, request.id),
             leads: false,
             stored: None,
+            recent: false,
             settled: false,
             streaming: false,
         }
