--- a/crates/paddlefold/tests/common/mod.rs
+++ b/crates/paddlefold/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 use paddlefold::*;
 
+pub mod site;
+
 pub const SECOND: Micros = 1_000_000;
 
 /// Two classes as a site might state them: 0 is safe, 1 keyed over all servers.
