Look for a far cache only where zones have a price, and before asking whether it is well

Need: a decision had come to cost 2.5, 10.8 and 102 us at 12, 100 and 1,000 boxes, measured by `decision`. At fault: the search in `candidates` for a far cache ran through all boxes, with all their conditions, also where no zone has a price.

--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -253,8 +253,8 @@
         let ranked = || ranked.iter().map(|&(_, s)| s);
         let mut set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
         // Guards against: a zone with more traffic than its own caches can carry.
-        if !set.iter().any(|s| self.abroad(s)) {
-            set.extend(ranked().find(|s| usable(s) && self.abroad(s)));
+        if near > 1.0 && !set.iter().any(|s| self.far(s)) {
+            set.extend(ranked().find(|s| self.far(s) && usable(s)));
         }
         if set.is_empty() { ranked().take(SET).collect() } else { set }
     }
--- a/crates/paddlefold/src/cost.rs
+++ b/crates/paddlefold/src/cost.rs
@@ -109,12 +109,12 @@
         if self.far(s) && price.is_finite() { price.max(0.0) } else { 0.0 }
     }
 
-    fn far(&self, s: &Server) -> bool {
+    pub(super) fn far(&self, s: &Server) -> bool {
         self.settings.zone.is_some_and(|zone| zone != s.member.zone)
     }
 
     /// In another zone, where that has a price that splits the sets.
-    pub(super) fn abroad(&self, s: &Server) -> bool {
+    fn abroad(&self, s: &Server) -> bool {
         self.far(s) && self.nearness() > 1.0
     }
 
