Refuse reads whose like were seldom served of late, and pay copies by work

The part of reads that is served is now learned by how little time they came with, and forgotten within seconds; where it is under six in ten they are refused as they come, but for one in sixteen. Copies and further tries are paid from a budget of work, not of counts.

The stand-in discovery works on one call at a time where a plan says so, and can be refusing or silent.

--- a/crates/fleet/src/discovery.rs
+++ b/crates/fleet/src/discovery.rs
@@ -13,15 +13,18 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::Deserialize;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::origin::{accept, text};
 use crate::record::{Event, Log, Told};
 
+/// A call that has waited so long for its turn fails.
+const PATIENCE: Duration = Duration::from_secs(1);
 /// A watch that knows less than so many versions ago gets the whole list.
 const REMEMBERED: u64 = 1000;
 
@@ -75,7 +78,22 @@
 struct Listing {
     version: u64,
     servers: Vec<Listed>,
-    down: bool,
+    trouble: Trouble,
+}
+
+/// What is wrong with discovery.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Connections are closed at once.
+    Down,
+    /// Watches end and calls fail, by an answer that says so.
+    Refusing,
+    /// It takes calls and answers none.
+    Silent,
 }
 
 /// A running discovery.
@@ -90,15 +108,19 @@
     log: Log,
     /// News reaches nodes so much later.
     delay: Duration,
+    /// One call is worked on at a time, for so long.
+    work: Duration,
+    turns: Mutex<()>,
     ended: CancellationToken,
 }
 
 impl Discovery {
-    pub(crate) async fn start(delay: Duration, log: Log) -> io::Result<Discovery> {
+    pub(crate) async fn start(delay: Duration, work: Duration, log: Log) -> io::Result<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let ended = CancellationToken::new();
-        let inner = Arc::new(Inner { listing: watch::Sender::default(), log, delay, ended });
+        let (listing, turns) = (watch::Sender::default(), Mutex::default());
+        let inner = Arc::new(Inner { listing, log, delay, work, turns, ended });
         let attended = inner.clone();
         tokio::spawn(accept(listener, inner.ended.clone(), move |stream| attended.clone().attend(stream)));
         Ok(Discovery { inner, addr })
@@ -124,9 +146,9 @@
         self.inner.listing.borrow().servers.iter().any(|server| &*server.id == id)
     }
 
-    /// Whether it is down: watches end, and calls fail.
-    pub fn set_down(&self, down: bool) {
-        self.inner.listing.send_modify(|listing| listing.down = down);
+    /// What is wrong with it from now on.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        self.inner.listing.send_modify(|listing| listing.trouble = trouble);
     }
 
     /// The whole list as it is told, without what is gone.
@@ -152,7 +174,7 @@
         let mut listing = self.listing.subscribe();
         tokio::select! {
             () = self.ended.cancelled() => {}
-            _ = listing.wait_for(|listing| listing.down) => {}
+            _ = listing.wait_for(|listing| listing.trouble == Trouble::Down) => {}
             _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service) => {}
         }
     }
@@ -167,14 +189,24 @@
             pairs.find(|pair| pair.0 == name).and_then(|pair| pair.1.parse::<u64>().ok())
         };
         let (after, wait) = (number("after"), number("wait_ms").unwrap_or(0));
+        self.log.note(&"discovery".into(), Event::Called { whole: after.is_none() });
         let mut listing = self.listing.subscribe();
         if let Some(after) = after {
-            let newer = listing.wait_for(|listing| listing.version > after);
+            let newer =
+                listing.wait_for(|listing| listing.version > after || listing.trouble == Trouble::Refusing);
             let _ = timeout(Duration::from_millis(wait), newer).await;
             sleep(self.delay).await;
         }
+        let served = match timeout(PATIENCE, self.turns.lock()).await {
+            Ok(_turn) => {
+                sleep(self.work).await;
+                true
+            }
+            Err(_) => false,
+        };
+        let _ = listing.wait_for(|listing| listing.trouble != Trouble::Silent).await;
         let listing = listing.borrow().clone();
-        if listing.down {
+        if matches!(listing.trouble, Trouble::Down | Trouble::Refusing) || !served {
             return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
         }
         let after = after.filter(|&after| after <= listing.version && after + REMEMBERED > listing.version);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -35,6 +35,11 @@
     Syntax(String),
     /// A cold box was pushed over.
     PushedOver,
+    /// A node has called for the list, or for its changes.
+    Called {
+        /// For the whole list.
+        whole: bool,
+    },
     /// Discovery has told a node that this server is in that state.
     Told(Told),
 }
--- a/crates/fleet/src/script.rs
+++ b/crates/fleet/src/script.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::discovery::Trouble;
 use crate::etcd::EtcdFaults;
 use crate::fault::Faults;
 
@@ -41,10 +42,10 @@
         /// The new one's name.
         by: String,
     },
-    /// Discovery is down, or back.
+    /// Discovery is down, silent, or back.
     Discovery {
-        /// Whether it is down.
-        down: bool,
+        /// What is wrong with it from now on.
+        trouble: Trouble,
     },
     /// An endpoint of etcd has these faults from now on, and no others.
     Etcd {
@@ -93,8 +94,8 @@
     script.push((over.mul_f64(0.2 + 0.4 * rng.f64()), Step::Remove { server: name(1) }));
     let (server, by) = (name(2), "box-new".into());
     script.push((over.mul_f64(0.2 + 0.2 * rng.f64()), Step::Replace { server, by }));
-    script.push((over.mul_f64(0.5), Step::Discovery { down: true }));
-    script.push((over.mul_f64(0.6), Step::Discovery { down: false }));
+    script.push((over.mul_f64(0.5), Step::Discovery { trouble: Trouble::Down }));
+    script.push((over.mul_f64(0.6), Step::Discovery { trouble: Trouble::None }));
     script.sort_by_key(|(at, _)| *at);
     script
 }
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -35,6 +35,14 @@
     pub origin: OriginPlan,
     /// How much later than a change discovery tells it.
     pub delay: Duration,
+    /// The work of a call at discovery, which works on one at a time.
+    pub call: Duration,
+    /// What the settings allow between word of a drain and the last thing sent.
+    pub grace: Duration,
+    /// Whether the settings have nodes ask for the list.
+    pub asked: bool,
+    /// How many requests at once the settings allow on a connection.
+    pub streams: u32,
     /// How many endpoints of etcd there are; it lists the same servers as discovery. 0 is no etcd.
     pub etcd: usize,
     /// How many of the boxes, the last of them, speak memcached; their kind of machine is `memcached`.
@@ -67,6 +75,10 @@
                 window: Duration::from_millis(2500),
             },
             delay: Duration::ZERO,
+            call: Duration::ZERO,
+            grace: Duration::from_millis(500),
+            asked: false,
+            streams: 1,
             etcd: 0,
             memcached: 0,
             ghosts: 0,
@@ -92,8 +104,7 @@
     /// The stand-in etcd, if there is one. It may be called from any thread.
     pub etcd: Option<Arc<Etcd>>,
     known: String,
-    seed: u64,
-    cold: Cold,
+    plan: Plan,
     orders: Option<mpsc::UnboundedSender<(Order, sync::Sender<io::Result<()>>)>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -120,7 +131,7 @@
     pub fn start(plan: Plan) -> io::Result<Fleet> {
         let (ready, started) = sync::channel();
         let (orders, inbox) = mpsc::unbounded_channel();
-        let (seed, cold) = (plan.seed, plan.cache.cold.clone());
+        let kept = plan.clone();
         let thread = std::thread::Builder::new().name("fleet".into()).spawn(move || {
             let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
                 Ok(runtime) => runtime,
@@ -137,8 +148,7 @@
             origin,
             etcd,
             known,
-            seed,
-            cold,
+            plan: kept,
             orders: Some(orders),
             thread: Some(thread),
         })
@@ -187,8 +197,8 @@
         let known: serde_json::Value = serde_json::from_str(&self.known).unwrap_or_default();
         json!({
             "name": "n0", "listen": listen.to_string(), "discovery": self.discovery.to_string(),
-            "seed": format!("{:x}", self.seed), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": known, "settings": settings::settings(&self.cold),
+            "seed": format!("{:x}", self.plan.seed), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "known": known, "settings": settings::settings(&self.plan),
         })
         .to_string()
     }
@@ -243,7 +253,7 @@
         let origin =
             Origin::start("origin", plan.origin.clone(), plan.seed ^ 0x0419, log.clone(), missed.clone())
                 .await?;
-        let discovery = Discovery::start(plan.delay, log.clone()).await?;
+        let discovery = Discovery::start(plan.delay, plan.call, log.clone()).await?;
         let etcd = match plan.etcd {
             0 => None,
             endpoints => {
@@ -325,7 +335,7 @@
                 let old = self.remove(&server)?;
                 self.later.push((by, old.addr, old.speaks()));
             }
-            Step::Discovery { down } => self.discovery.set_down(down),
+            Step::Discovery { trouble } => self.discovery.set_trouble(trouble),
             Step::Etcd { endpoint: None, faults } => self.etcd()?.set_all_faults(&faults),
             Step::Etcd { endpoint: Some(endpoint), faults } => {
                 let etcd = self.etcd()?;
--- a/crates/paddlefold/src/api.rs
+++ b/crates/paddlefold/src/api.rs
@@ -11,11 +11,11 @@
 pub type Micros = u64;
 
 /// A request, as named by the embedder. Ids must not repeat while one balancer lives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 
 /// A cache server or the origin. The same at every node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// Names a timer; the module chooses it and gets it back.
@@ -23,7 +23,7 @@
 pub struct TimerToken(pub u64);
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May be repeated freely.
     Safe,
@@ -35,6 +35,7 @@
         window: Micros,
     },
     /// Must not run twice.
+    #[default]
     Unsafe,
 }
 
@@ -143,9 +144,10 @@
 }
 
 /// State of a member of the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum MemberState {
     /// In service.
+    #[default]
     Up,
     /// Finishing its work; gets nothing new.
     Draining,
@@ -154,7 +156,7 @@
 }
 
 /// An entry of the list of servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Member {
     /// The server.
     pub id: ServerId,
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -24,7 +24,8 @@
 const SET: usize = 3;
 /// A cache this many times slower than its fellows has no idle room.
 const SLOW: f64 = 3.0;
-/// Copies and further tries that one request earns, and most that are saved up.
+/// Work of copies and of further tries that a request earns, in parts of its own, and most that is saved up,
+/// in requests of usual work.
 const COPY_SHARE: f64 = 0.1;
 const RETRY_SHARE: f64 = 0.2;
 const SAVED: f64 = 10.0;
@@ -65,8 +66,10 @@
     kinds: BTreeMap<u32, Pace>,  // how quick the kinds of machines are
     idle_time: Micros,           // how long a connection of ours may idle
     holders: Holders,
+    hastes: Hastes,
     copies: f64,
     retries: f64,
+    usual_work: f64, // of a request, in microseconds
     /// Fetches that are out or wait for a place, by key, with those who wait for them.
     flights: HashMap<u64, Vec<RequestId>>,
     gates: [Gate; 2], // limits on what is out at the caches together, and at the origin
@@ -94,8 +97,10 @@
             kinds: BTreeMap::new(),
             idle_time: (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros,
             holders: Holders::new(),
+            hastes: Hastes::new(now),
             copies: 1.0,
             retries: SAVED / 2.0,
+            usual_work: 0.0,
             flights: HashMap::new(),
             gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, START, USUAL)),
             list_failures: None,
@@ -183,9 +188,13 @@
         open.aim = told.map_or(request.budget, |c| c.aim);
         open.worth = self.worth(&request);
         open.recent = self.holders.asked(key, self.now);
+        open.haste = self.haste(&request, &open);
+        let hopeless = self.hopeless(&open);
         self.open.insert(id, open);
-        self.copies = (self.copies + COPY_SHARE).min(SAVED);
-        self.retries = (self.retries + RETRY_SHARE).min(SAVED);
+        if hopeless {
+            return self.finish(id, out);
+        }
+        self.earn(self.open[&id].class);
         self.advance(id, out);
     }
 
@@ -196,7 +205,7 @@
             return; // a miss or failure ends nothing while a copy is out
         }
         r.wait = Wait::Nothing;
-        let (stored, again) = (r.stored, !r.tries.is_empty() && r.stored.is_none());
+        let (write, stored, again) = (r.write, r.stored, !r.tries.is_empty() && r.stored.is_none());
         let (aside, most) = (self.settings.mode == Mode::Aside, self.settings.max_attempts);
         let late = self.now + self.settings.quantum >= r.deadline;
         if late || r.tries.len() >= most {
@@ -205,7 +214,8 @@
         if aside && (r.write || r.missed() && stored.is_none()) {
             return self.fetch(id, out);
         }
-        if again && self.retries < 1.0 && !r.write {
+        let work = self.work(self.open[&id].class);
+        if again && self.retries < work && !write {
             return self.finish(id, out); // a failing fleet is not asked much more than a healthy one
         }
         let pick = self.pick(id);
@@ -214,7 +224,7 @@
         } else if self.gates[CACHES].full() && !pick.as_ref().is_some_and(|p| p.idle) {
             self.queue(CACHES, id, out); // slow caches may hold all places: idle room needs none
         } else {
-            self.retries -= if again { 1.0 } else { 0.0 };
+            self.retries -= if again { work } else { 0.0 };
             self.ask_cache(id, pick, out);
         }
     }
@@ -268,17 +278,18 @@
         let copied = |s: &&Server| !s.member.origin && self.may_copy(r) && r.outstanding() == 1;
         let Some(first) = first.filter(copied) else { return };
         let well = |s: &&Server| !r.tried(s.member.id) && !self.suspect(s) && !self.cold(s);
-        let shut = self.copies < 1.0 || self.gates.iter().any(|g| g.full() || g.strain > STRAINED / 2.0);
+        let work = self.work(r.class);
+        let shut = self.copies < work || self.gates.iter().any(|g| g.full() || g.strain > STRAINED / 2.0);
         let others: Vec<&Server> = self.candidates(r.key).into_iter().filter(well).collect();
         let room = others.iter().find(|s| !shut && self.idle(s, r.class)).map(|s| s.member.id);
         // An attempt lost, or overdue by far, is as good as failed: a further try needs no idle room.
         let lost = first.lost.iter().any(|l| l.0 == id);
-        let overdue = (lost || self.suspect(first)) && !self.gates[CACHES].full() && self.retries >= 1.0;
+        let overdue = (lost || self.suspect(first)) && !self.gates[CACHES].full() && self.retries >= work;
         let further = others.first().filter(|_| overdue).map(|s| s.member.id);
         if room.is_some_and(|to| self.send(id, to, None, out)) {
-            self.copies -= 1.0;
+            self.copies -= work;
         } else if further.is_some_and(|to| self.send(id, to, None, out)) {
-            self.retries -= 1.0;
+            self.retries -= work;
         } else if self.open[&id].deadline > self.now + self.settings.quantum {
             let (r, usual) = (&self.open[&id], self.timings[self.open[&id].class].late(4.0));
             let spoilt = r.tries.iter().map(|t| t.sent.saturating_add(r.aim)).find(|&t| t > self.now);
@@ -304,6 +315,7 @@
         self.recall(&end);
         let lost = self.observe(&end, to);
         if end.settled {
+            self.judge(id, true);
             self.end(id, out);
         } else {
             self.advance(id, out);
@@ -481,14 +493,7 @@
         s.out.insert((self.now + due_in, id, r.tries.len()));
         self.gates[usize::from(origin)].out += 1;
         r.wait = Wait::Nothing;
-        r.tries.push(Try {
-            server: to,
-            sent: self.now,
-            out: true,
-            may_have_run: false,
-            missed: false,
-            known,
-        });
+        r.tries.push(Try { server: to, sent: self.now, out: true, known, ..Try::default() });
         out.push(Action::Send { id, server: to, timeout: left });
         if hedges {
             self.wake(id, hedge_in, out);
@@ -505,6 +510,7 @@
         } else {
             out.push(Action::Fail(id));
         }
+        self.judge(id, false);
         self.end(id, out);
     }
 
@@ -512,7 +518,7 @@
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get_mut(&id).filter(|r| !r.settled) else { return };
         r.settled = true;
-        self.gates.iter_mut().for_each(|gate| gate.leave(&r.ticket));
+        self.gates.iter_mut().for_each(|gate| _ = gate.queue.remove(&r.ticket));
         let (key, leads) = (r.key, std::mem::take(&mut r.leads));
         self.cancel(id, None, out);
         if leads {
--- a/crates/paddlefold/src/cost.rs
+++ b/crates/paddlefold/src/cost.rs
@@ -14,6 +14,13 @@
 /// ... and where caches fetch for themselves, so that misses are theirs to bear.
 const AFFINITY: f64 = 0.6;
 
+/// A read is worth a try where this part of those with as little time was served...
+const WORTHWHILE: f64 = 0.6;
+/// ... and so often where it was not, to find out whether that still holds.
+const TRIAL: f64 = 1.0 / 16.0;
+/// Reads over which that part is reckoned.
+const JUDGED: f64 = 32.0;
+
 /// Caches at which an answer of the origin is stored.
 const STORED: usize = 2;
 
@@ -82,6 +89,45 @@
         !(spared || wanted) && gain < self.crossing(s) + VAIN * self.place(r)
     }
 
+    /// A request's work, in requests of usual work, by its class; none counts as more than can be saved up.
+    pub(super) fn work(&self, class: usize) -> f64 {
+        (self.timings[class].base / self.usual_work.max(1.0)).min(SAVED)
+    }
+
+    /// A request came: a part of its work may be spent on doing work over again.
+    pub(super) fn earn(&mut self, class: usize) {
+        let work = self.timings[class].base;
+        let part = if self.usual_work > 0.0 { 1.0 / JUDGED } else { 1.0 };
+        self.usual_work += (work - self.usual_work) * part;
+        self.copies = (self.copies + COPY_SHARE * self.work(class)).min(SAVED);
+        self.retries = (self.retries + RETRY_SHARE * self.work(class)).min(SAVED);
+    }
+
+    /// With how little time a read came; nothing if that is ample.
+    pub(super) fn haste(&self, request: &Request, r: &Open) -> Option<usize> {
+        let time = request.budget as f64 / self.timings[r.class].base.max(1.0);
+        Hastes::step(time).filter(|_| r.repeatable())
+    }
+
+    /// Whether reads that came with so little time were seldom served of late.
+    ///
+    /// Guards against: impatient clients, whose reads are given up before an answer can come, miss after miss and
+    /// fetch after fetch, and who come again with more time only once they are answered. It hurts those who would
+    /// have been lucky.
+    pub(super) fn hopeless(&mut self, r: &Open) -> bool {
+        let tau = self.tau();
+        let chance = r.haste.map_or(1.0, |step| self.hastes.chance(step, self.now, tau));
+        chance < WORTHWHILE && self.rng.f64() >= TRIAL
+    }
+
+    /// Learns from the end of a read that was tried.
+    pub(super) fn judge(&mut self, id: RequestId, served: bool) {
+        let r = self.open.get(&id).filter(|r| !r.settled && !r.tries.is_empty());
+        if let Some(step) = r.and_then(|r| r.haste) {
+            self.hastes.told(step, served, JUDGED, self.now, self.tau());
+        }
+    }
+
     pub(super) fn known(&self, r: &Open, s: &Server, rank: usize) -> Known {
         let standing = match rank {
             _ if self.abroad(s) => Standing::Far,
@@ -129,7 +175,7 @@
         let (t, key) = (&r.tries[end.attempt], r.key);
         let at_origin = self.servers.get(&t.server).is_some_and(|s| s.member.origin);
         match end.outcome {
-            Outcome::Ok if r.write => self.holders.void(key),
+            Outcome::Ok if r.write => self.holders.lack(key, None),
             // The origin's answer is stored at the first that missed for this request.
             Outcome::Ok if at_origin => {
                 let missed = r.tries.iter().filter(|t| t.missed).take(STORED).map(|t| t.server);
@@ -141,7 +187,7 @@
             }
             Outcome::Miss => {
                 self.holders.told(t.known, false);
-                self.holders.lack(key, t.server);
+                self.holders.lack(key, Some(t.server));
             }
             _ => {}
         }
--- a/crates/paddlefold/src/holders.rs
+++ b/crates/paddlefold/src/holders.rs
@@ -33,7 +33,7 @@
 }
 
 /// What is known of a key at a cache; see [`Holders::known`].
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Known(usize);
 
 /// What is remembered of a key.
@@ -99,17 +99,10 @@
         held.push((at, now));
     }
 
-    /// The key is not held there.
-    pub fn lack(&mut self, key: u64, at: ServerId) {
+    /// The key is not held there; nor anywhere, once it was written.
+    pub fn lack(&mut self, key: u64, at: Option<ServerId>) {
         for memory in [self.young.get_mut(&key), self.old.get_mut(&key)].into_iter().flatten() {
-            memory.held.retain(|h| h.0 != at);
-        }
-    }
-
-    /// The key was written: no cache holds it.
-    pub fn void(&mut self, key: u64) {
-        for memory in [self.young.get_mut(&key), self.old.get_mut(&key)].into_iter().flatten() {
-            memory.held.clear();
+            memory.held.retain(|h| at.is_some_and(|at| h.0 != at));
         }
     }
 
@@ -125,12 +118,6 @@
         let steps = self.found[..STEPS].iter().take_while(|&&found| found > KEPT).count();
         STEP << steps >> 1
     }
-
-    /// The keys remembered, at most twice the bound of one generation.
-    #[cfg(test)]
-    fn len(&self) -> usize {
-        self.young.len() + self.old.len()
-    }
 }
 
 /// The step of an age: 0 up to `STEP`, then one more at each doubling.
--- a/crates/paddlefold/src/holders/tests.rs
+++ b/crates/paddlefold/src/holders/tests.rs
@@ -14,10 +14,10 @@
     assert_eq!(at(&holders, Micros::MAX), STEPS - 1);
     let unseen = [Standing::Home, Standing::Spare, Standing::Far].map(|s| holders.known(7, B, s, 0).0);
     assert_eq!(unseen, [STEPS, STEPS + 1, STEPS + 2]);
-    holders.lack(7, A);
+    holders.lack(7, Some(A));
     assert_eq!(at(&holders, 0), STEPS);
     holders.hold(7, A, 0);
-    holders.void(7);
+    holders.lack(7, None);
     assert_eq!(at(&holders, 0), STEPS);
 }
 
@@ -43,7 +43,8 @@
         holders.asked(key, key);
         holders.hold(key, A, key);
     }
-    assert!(holders.len() <= 2 * REMEMBERED, "{}", holders.len());
+    let kept = holders.young.len() + holders.old.len();
+    assert!(kept <= 2 * REMEMBERED, "{kept}");
     assert_eq!(holders.known(999_999, A, Standing::Home, 999_999).0, 0, "the latest stays");
     for server in 0..1_000 {
         holders.hold(3, ServerId(server), 0);
--- a/crates/paddlefold/src/state.rs
+++ b/crates/paddlefold/src/state.rs
@@ -27,6 +27,7 @@
 }
 
 /// Response times: a moving mean and mean deviation.
+#[derive(Default)]
 pub(crate) struct Timing {
     pub mean: f64,
     dev: f64,
@@ -51,6 +52,32 @@
     }
 }
 
+/// Steps of haste, two to each doubling of the time.
+const STEPS: usize = 9;
+
+/// The part of reads that were served, by how little time they came with. What was seen is forgotten in time, so
+/// that few reads are enough to be trusted again.
+pub(crate) struct Hastes([(f64, Micros); STEPS]);
+
+impl Hastes {
+    pub fn new(now: Micros) -> Self {
+        Hastes([(1.0, now); STEPS])
+    }
+    /// The step of a time, in usual times of an answer; nothing for one that is no haste.
+    pub fn step(time: f64) -> Option<usize> {
+        let step = (2.0 * time.max(0.1).log2() + 2.0).max(0.0) as usize;
+        Some(step).filter(|&step| step < STEPS)
+    }
+    pub fn chance(&self, step: usize, now: Micros, tau: f64) -> f64 {
+        let (part, at) = self.0[step];
+        1.0 - (1.0 - part) * (-((now - at) as f64) / tau).exp()
+    }
+    pub fn told(&mut self, step: usize, served: bool, reads: f64, now: Micros, tau: f64) {
+        let part = self.chance(step, now, tau);
+        self.0[step] = (part + (f64::from(u8::from(served)) - part) / reads, now);
+    }
+}
+
 /// Response times of one kind of machine in comparison with all, 1 being usual.
 pub(crate) struct Pace {
     pub slowness: f64,
@@ -102,6 +129,7 @@
 pub(crate) type Ticket = (u64, u64, RequestId);
 
 /// A limit on our attempts out at the caches together, or at the origin, and who waits for a place.
+#[derive(Default)]
 pub(crate) struct Gate {
     pub timing: Timing,
     pub limit: f64,
@@ -121,17 +149,7 @@
 
 impl Gate {
     pub fn new(mean: f64, limit: f64, usual: f64) -> Self {
-        Gate {
-            timing: Timing::guess(mean),
-            limit,
-            out: 0,
-            strain: 0.0,
-            noted: 0,
-            usual,
-            cut_at: 0,
-            queue: BTreeSet::new(),
-            queued: 0,
-        }
+        Gate { timing: Timing::guess(mean), limit, usual, ..Gate::default() }
     }
     /// Notes how an attempt went; with little strain, `calm` or less, what is out is the usual.
     pub fn note(&mut self, bad: bool, calm: f64, now: Micros, tau: f64) {
@@ -146,9 +164,6 @@
     pub fn full(&self) -> bool {
         self.out as f64 + 1.0 > self.limit
     }
-    pub fn leave(&mut self, ticket: &Ticket) {
-        self.queue.remove(ticket);
-    }
     /// Queues a request; the ticket is its place.
     pub fn push(&mut self, worth: f64, id: RequestId) -> Ticket {
         self.queued += 1;
@@ -158,6 +173,7 @@
     }
 }
 
+#[derive(Default)]
 pub(crate) struct Server {
     pub member: Member,
     /// When it last started cold, as far as we know.
@@ -183,19 +199,7 @@
 
 impl Server {
     pub fn new(member: Member, now: Micros) -> Self {
-        Server {
-            member,
-            cold_since: None,
-            out: BTreeSet::new(),
-            lost: BTreeSet::new(),
-            answered: 0,
-            slowness: 1.0,
-            heard: None,
-            idle_since: None,
-            silent: 0,
-            retry_at: now,
-            allowance: (0.0, now),
-        }
+        Server { member, slowness: 1.0, retry_at: now, allowance: (0.0, now), ..Server::default() }
     }
     /// Strikes off an attempt; tells from when it was a sign of trouble.
     pub fn close(&mut self, id: RequestId, attempt: usize) -> Option<Micros> {
@@ -226,6 +230,7 @@
     }
 }
 
+#[derive(Default)]
 pub(crate) struct Try {
     pub server: ServerId,
     pub sent: Micros,
@@ -237,8 +242,9 @@
 }
 
 /// What a request without an attempt out waits for.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 pub(crate) enum Wait {
+    #[default]
     Nothing,
     /// Another request's fetch of its key.
     Flight,
@@ -249,6 +255,7 @@
 }
 
 /// A request that is owed an answer, or has an attempt out.
+#[derive(Default)]
 pub(crate) struct Open {
     pub class: usize,
     pub aim: Micros,
@@ -266,6 +273,8 @@
     pub leads: bool,
     /// Its key was asked for before, within the time that caches keep keys.
     pub recent: bool,
+    /// The step of its haste, if it came with little time.
+    pub haste: Option<usize>,
     /// Where a fetch it waited for has stored the value.
     pub stored: Option<ServerId>,
     pub settled: bool,
@@ -274,24 +283,9 @@
 
 impl Open {
     pub fn new(request: &Request, key: u64, effect: Effect, now: Micros) -> Self {
-        Open {
-            class: 0,
-            aim: 0,
-            worth: 1.0,
-            key,
-            deadline: now.saturating_add(request.budget),
-            arrived: now,
-            write: request.write,
-            effect,
-            tries: Vec::new(),
-            wait: Wait::Nothing,
-            ticket: (0, 0, request.id),
-            leads: false,
-            stored: None,
-            recent: false,
-            settled: false,
-            streaming: false,
-        }
+        let (deadline, ticket) = (now.saturating_add(request.budget), (0, 0, request.id));
+        let (write, worth) = (request.write, 1.0);
+        Open { worth, key, deadline, arrived: now, write, effect, ticket, ..Open::default() }
     }
     pub fn outstanding(&self) -> usize {
         self.tries.iter().filter(|t| t.out).count()
--- a/crates/paddlefold/tests/ordinary_path.rs
+++ b/crates/paddlefold/tests/ordinary_path.rs
@@ -89,6 +89,63 @@
     assert!((1..=30).contains(&copies), "a tenth of 200 reads, and ten saved up: {copies}");
 }
 
+#[test]
+fn the_budget_of_copies_is_one_of_work_not_of_counts() {
+    let mut page = settings(Mode::Through);
+    page.classes.push(Class { aim: 300_000, worth: 3.0, effect: Effect::Safe });
+    let (heavy, mut node) = (page.classes.len() - 1, Node::new(page, 6));
+    let mut copies = 0;
+    for n in 0..1000 {
+        let (class, work) = if n % 10 == 9 { (heavy, 80_000) } else { (0, 10_000) };
+        let actions = node.request(n, &format!("k{n}"), class, false);
+        let late = timer(&actions).filter(|_| class == heavy && n >= 500);
+        node.now += late.map_or(work, |late| late.0);
+        let copied = late.is_some_and(|(_, token)| sent(&node.timer(token)).is_some());
+        node.end(n, 0, Outcome::Ok, work); // the first wins, and takes no longer than usual
+        if copied {
+            copies += 1;
+            node.end(n, 1, Outcome::Canceled, 1_000);
+        }
+    }
+    // A tenth of the work is 500 * 17 ms / 10, and ten saved up are 170 ms: of 80 ms each.
+    assert!((5..=14).contains(&copies), "{copies} of 50 heavy reads, by their count all");
+}
+
+#[test]
+fn reads_with_too_little_time_are_refused_at_once_until_some_are_served() {
+    // Guards against: impatient clients, whose reads take work and time and are given up before they are answered.
+    let mut node = Node::new(settings(Mode::Through), 6);
+    node.warm_up();
+    let mut id = 1000;
+    // Reads with 45 ms where answers take 50; tells how many of a hundred were sent. Those sent end so.
+    let mut hundred = |node: &mut Node, outcome: Outcome| {
+        let mut out = 0;
+        for _ in 0..100 {
+            (id, node.now) = (id + 1, node.now + 20_000);
+            let key = Some(format!("k{}", id % 200));
+            let hasty = Request { class: Some(0), key, budget: 45_000, ..Request::new(RequestId(id)) };
+            let actions = node.tell(Event::Request(hasty));
+            if sent(&actions).is_some() {
+                out += 1;
+                node.now += 40_000;
+                node.end(id, 0, outcome, 40_000);
+                node.tell(Event::ClientGone(RequestId(id)));
+            } else {
+                assert!(answered(&actions), "neither sent nor answered at once");
+            }
+        }
+        out
+    };
+    assert_eq!(hundred(&mut node, Outcome::Ok), 100, "served, all of them are tried");
+    hundred(&mut node, Outcome::TimedOut);
+    let tried = hundred(&mut node, Outcome::TimedOut);
+    assert!((1..=25).contains(&tried), "{tried} tried of a hundred, none of which was served");
+    let (ample, write) = (node.read(5000, "k1"), node.request(5001, "k1", 2, true));
+    assert!(sent(&ample).is_some() && sent(&write).is_some(), "others are not judged by them");
+    node.now += 20 * SECOND;
+    assert!(hundred(&mut node, Outcome::Ok) > 90, "what was seen long ago counts no more");
+}
+
 #[test]
 fn settings_that_forbid_copies_and_cancels_are_obeyed() {
     let mut s = settings(Mode::Through);
