Keep the port of the test with nobody listening from the other tests

The port was let go before the load was sent to it, so that a node or a stand-in of a test beside it could get it: one run in dozens failed.

--- a/crates/lilacquay/tests/cli.rs
+++ b/crates/lilacquay/tests/cli.rs
@@ -220,9 +220,10 @@
 
 #[test]
 fn a_load_on_nobody_fails_and_says_so() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap().to_string();
-    drop(listener);
+    // Bound, so that no other test gets the port, and not listened on.
+    let nobody = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    nobody.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    let addr = nobody.local_addr().unwrap().as_socket().unwrap().to_string();
     let load = lilacquay(&["load", "--to", &addr, "--for", "200ms"]).output().unwrap();
     assert!(!load.status.success() && text(&load).contains("was not reached by"), "{}", text(&load));
     for mix in ["1,0", "0,0,0", "1,-1,0", "a,b,c"] {
