Lay an operator's orders over the list of servers, before the module

Drains and leave-outs ordered at a node are to pass the same way as every change of the list. crates/steer, without I/O, clock or thread, decides who wins: a server serves only if list and operator both let it; of two orders the later holds unless it names the one it was given in sight of; the last cache in service goes only by force; those left out for a time are let in while the list leaves no other; orders that last hold over a restart.

The core takes orders where it is made with steering, which the platform's node is not; its changes reach the module as changes of the list.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lilacquay_quota::Ticket;
+use lilacquay_steer::{Ask, Done, Kept, Refusal};
 use paddlefold::setup::Setup;
 use paddlefold::{
     Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
@@ -24,6 +25,7 @@
 use crate::directory::Directory;
 use crate::members::{List, Members};
 use crate::requests::Requests;
+use crate::steering::Steering;
 use crate::upstream::{Reply, Target, Upstream};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -43,6 +45,7 @@
     List(List),
     ListFailed,
     Quotas(Box<Admission>),
+    Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
 }
 
 /// A client's request.
@@ -119,6 +122,8 @@
     pub memory: usize,
     /// Quotas, before the module.
     pub quotas: Option<Admission>,
+    /// Where operators may order servers away: the orders that lasted over a restart.
+    pub steered: Option<Vec<Kept>>,
 }
 
 /// What others need to speak to a driver. It runs as long as any of these is left.
@@ -140,6 +145,14 @@
     pub fn quotas(&self, quotas: Admission) {
         let _ = self.0.send(Message::Quotas(Box::new(quotas))); // nobody goes by them once the core has ended
     }
+
+    /// Gives an operator's order on a server; the answer tells whether it is obeyed. A core that was made without
+    /// steering, or has ended, answers nothing.
+    pub fn steer(&self, ask: Ask) -> oneshot::Receiver<Result<Done, Refusal>> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Steer(Box::new(ask), answer)); // its end shows at the receiver
+        told
+    }
 }
 
 /// Carries out what the module decides, and tells it what happens.
@@ -149,6 +162,7 @@
     clock: Clock,
     upstream: U,
     quotas: Option<Admission>,
+    steering: Option<Steering>,
     directory: Directory<U::Connection>,
     open: HashMap<RequestId, Open>,
     /// Attempts under way: each holds a connection, or is making one.
@@ -178,6 +192,7 @@
             balancer: Balancer::new(settings, options.seed, clock.now()),
             setup: options.setup,
             quotas: options.quotas,
+            steering: options.steered.map(|kept| Steering::new(clock.now(), kept)),
             clock,
             upstream,
             open: HashMap::new(),
@@ -230,6 +245,13 @@
                     quotas.reload(*new, self.clock.now());
                 }
             }
+            Message::Steer(ask, answer) => {
+                if let Some(steering) = &mut self.steering {
+                    let (done, changes) = steering.ask(self.clock.now(), &ask);
+                    self.steered(changes);
+                    let _ = answer.send(done); // who ordered may have left
+                }
+            }
             Message::ListFailed => {
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
             }
@@ -241,6 +263,10 @@
             Due::Module(token) => self.events.push_back(Event::Timer(token)),
             Due::Attempt(id, attempt) => self.give_up(id, attempt, Outcome::TimedOut),
             Due::Sweep => {
+                if let Some(steering) = &mut self.steering {
+                    let over = steering.tick(self.clock.now());
+                    self.steered(over);
+                }
                 self.directory.sweep(Instant::now());
                 self.timers.insert(Due::Sweep, SWEEP);
             }
@@ -272,6 +298,22 @@
     }
 
     fn list(&mut self, list: List) {
+        let list = match &mut self.steering {
+            Some(steering) => steering.list(self.clock.now(), list, |kind| self.setup.is_origin(kind)),
+            None => list,
+        };
+        self.enter(list);
+    }
+
+    /// What orders change. Where they change nothing the module is told nothing: it would take that for an answer
+    /// of the list's source.
+    fn steered(&mut self, changes: List) {
+        if !changes.servers.is_empty() {
+            self.enter(changes);
+        }
+    }
+
+    fn enter(&mut self, list: List) {
         let scope = if list.full { ListScope::Full } else { ListScope::Delta };
         let discards = |kind: &str| self.upstream.discards_repeats(kind);
         let members = self.directory.apply(list, &mut self.setup, discards);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod driver;
 mod members;
 mod requests;
+mod steering;
 mod upstream;
 
 pub use admission::Admission;
--- /dev/null
+++ b/crates/core/src/steering.rs
@@ -0,0 +1,75 @@
+//! An operator's orders, between the list of servers and the decision module.
+
+use std::collections::HashMap;
+
+use lilacquay_steer::{Ask, Change, Done, Kept, Listed, Refusal, Steer};
+use paddlefold::Micros;
+
+use crate::members::{Entry, List, State};
+
+/// The list as its source tells it, and the orders that are laid over it.
+pub(crate) struct Steering {
+    steer: Steer,
+    entries: HashMap<String, Entry>,
+}
+
+impl Steering {
+    /// No list yet, and the orders that lasted over a restart.
+    pub fn new(now: Micros, kept: Vec<Kept>) -> Self {
+        let mut steer = Steer::new();
+        steer.restore(now, kept);
+        Steering { steer, entries: HashMap::new() }
+    }
+
+    /// What a list comes to under the orders.
+    pub fn list(&mut self, now: Micros, list: List, is_origin: impl Fn(&str) -> bool) -> List {
+        let List { full, servers } = list;
+        let listed = |entry: &Entry| Listed {
+            name: entry.id.clone(),
+            state: match entry.state {
+                State::Serving => Some(lilacquay_steer::State::Serving),
+                State::Draining => Some(lilacquay_steer::State::Draining),
+                State::Deleted => None,
+            },
+            origin: is_origin(&entry.kind),
+        };
+        let changes = self.steer.list(now, full, servers.iter().map(listed).collect());
+        if full {
+            self.entries.clear();
+        }
+        let mut gone = Vec::new();
+        for entry in servers {
+            if entry.state == State::Deleted {
+                self.entries.remove(&entry.id);
+                gone.push(entry);
+            } else {
+                self.entries.insert(entry.id.clone(), entry);
+            }
+        }
+        gone.extend(self.worded(changes));
+        List { full, servers: gone }
+    }
+
+    /// Obeys an order, or says why not; tells what changes.
+    pub fn ask(&mut self, now: Micros, ask: &Ask) -> (Result<Done, Refusal>, List) {
+        let (done, changes) = self.steer.ask(now, ask);
+        (done, List { full: false, servers: self.worded(changes) })
+    }
+
+    /// Ends orders whose time is over; tells what changes.
+    pub fn tick(&mut self, now: Micros) -> List {
+        let changes = self.steer.tick(now);
+        List { full: false, servers: self.worded(changes) }
+    }
+
+    fn worded(&self, changes: Vec<Change>) -> Vec<Entry> {
+        let entry = |change: Change| {
+            let state = match change.state {
+                lilacquay_steer::State::Serving => State::Serving,
+                lilacquay_steer::State::Draining => State::Draining,
+            };
+            self.entries.get(&change.server).map(|entry| Entry { state, ..entry.clone() })
+        };
+        changes.into_iter().filter_map(entry).collect()
+    }
+}
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -127,7 +127,15 @@
         });
         let known = List { full: true, servers: vec![entry("s1"), entry("s2")] };
         let (to, asked) = mpsc::unbounded_channel();
-        let options = Options { setup, seed: 1, known, connections: 1000, memory: 8 << 20, quotas: None };
+        let options = Options {
+            setup,
+            seed: 1,
+            known,
+            connections: 1000,
+            memory: 8 << 20,
+            quotas: None,
+            steered: None,
+        };
         let (driver, Handles { requests, members, .. }) = Driver::new(options, Scripted(to));
         let gauges = driver.gauges();
         let bounds = Bounds { connections, with_servers: 0, gauges: gauges.clone(), memory: 8 << 20 };
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -41,8 +41,15 @@
     let (connections, memory) = (config.server_connections(), config.request_memory());
     let (version, known) = (config.known.version, config.known.list.clone());
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
-    let options =
-        Options { setup: config.setup.clone(), seed: config.seed, known, connections, memory, quotas };
+    let options = Options {
+        setup: config.setup.clone(),
+        seed: config.seed,
+        known,
+        connections,
+        memory,
+        quotas,
+        steered: None,
+    };
     let names = config.setup.names.clone();
     let kinds = config.memcached.as_ref().map(|(_, ready)| ready.kinds.clone());
     let servers = Servers::new(kinds.unwrap_or_default());
--- /dev/null
+++ b/crates/steer/src/steer.rs
@@ -0,0 +1,240 @@
+//! Who wins: the list or an order, one order or another.
+
+use std::collections::BTreeMap;
+
+use crate::Micros;
+use crate::order::{Ask, Done, Held, Hold, Kept, Order, Refusal};
+
+/// Orders that may hold at once.
+const MOST: usize = 1024;
+
+/// Whether a server that is listed takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// In service.
+    Serving,
+    /// Finishing what it has; gets nothing new.
+    Draining,
+}
+
+/// A server, as the list has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Its name.
+    pub name: String,
+    /// Its state; nothing if it is gone.
+    pub state: Option<State>,
+    /// Whether it is the origin.
+    pub origin: bool,
+}
+
+/// A server whose state is another than was told before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Its name.
+    pub server: String,
+    /// Its state from now on.
+    pub state: State,
+}
+
+struct Server {
+    listed: State,
+    origin: bool,
+    told: State,
+}
+
+/// The list with the orders on it.
+///
+/// - What is gone from the list is gone, whatever was ordered.
+/// - A server serves only if both list and operator let it: neither overrides the other's drain.
+/// - Of two orders for one server the later holds, unless it says which it was given in sight of, and was not.
+/// - An order that would leave no cache in service is refused unless it is forced. Where the list brings that about
+///   later, those that were left out for a time are let in, as long as it is so; a drain holds, for whoever ordered
+///   it may be at the machine.
+/// - An order ends with its server's place in the list, unless it lasts.
+#[derive(Default)]
+pub struct Steer {
+    servers: BTreeMap<String, Server>,
+    orders: BTreeMap<String, Held>,
+    numbers: u64,
+    now: Micros,
+}
+
+impl Steer {
+    /// No servers, and no orders.
+    pub fn new() -> Self {
+        Steer::default()
+    }
+
+    /// The orders that lasted over a restart hold again; what is over meanwhile does not.
+    pub fn restore(&mut self, now: Micros, kept: Vec<Kept>) {
+        self.now = self.now.max(now);
+        for Kept { server, left } in kept.into_iter().take(MOST) {
+            let hold = left.map_or(Hold::Drain, |left| Hold::LeftOut(self.now.saturating_add(left)));
+            self.numbers += 1;
+            self.orders.insert(server, Held { hold, lasting: true, number: self.numbers });
+        }
+        self.expire();
+    }
+
+    /// The orders that are to last over a restart.
+    pub fn kept(&self) -> Vec<Kept> {
+        let lasting = self.orders.iter().filter(|(_, held)| held.lasting);
+        let kept = |(server, held): (&String, &Held)| {
+            let left = match held.hold {
+                Hold::Drain => None,
+                Hold::LeftOut(until) => Some(until.saturating_sub(self.now)),
+            };
+            Kept { server: server.clone(), left }
+        };
+        lasting.map(kept).collect()
+    }
+
+    /// Takes over what a source of members tells: the whole list, or what has changed in it. Tells the states of
+    /// the servers that it names, and of others whose state changes by it.
+    pub fn list(&mut self, now: Micros, full: bool, servers: Vec<Listed>) -> Vec<Change> {
+        self.now = self.now.max(now);
+        let named: Vec<String> = servers.iter().map(|listed| listed.name.clone()).collect();
+        if full {
+            let old = std::mem::take(&mut self.servers);
+            servers.into_iter().for_each(|listed| self.enter(listed));
+            old.into_keys().for_each(|name| self.forget_unlisted(&name));
+        } else {
+            servers.into_iter().for_each(|listed| self.enter(listed));
+            named.iter().for_each(|name| self.forget_unlisted(name));
+        }
+        self.expire();
+        let mut changes = self.settle();
+        // Those that are named are told whether they have changed or not: the core was not told them before.
+        let untold = |name: &&String| changes.iter().all(|change| change.server != **name);
+        let more: Vec<Change> = named.iter().filter(untold).filter_map(|name| self.told(name)).collect();
+        changes.extend(more);
+        changes
+    }
+
+    /// Obeys an order, or says why not. Tells which servers' states change, by it or since time has passed.
+    pub fn ask(&mut self, now: Micros, ask: &Ask) -> (Result<Done, Refusal>, Vec<Change>) {
+        self.now = self.now.max(now);
+        self.expire();
+        let done = self.obey(ask);
+        self.expire(); // no time is over at once
+        (done, self.settle())
+    }
+
+    fn obey(&mut self, ask: &Ask) -> Result<Done, Refusal> {
+        let held = self.orders.get(&ask.server).copied();
+        let latest = held.map_or(0, |held| held.number);
+        if ask.seen.is_some_and(|seen| seen != latest) {
+            return Err(Refusal::Changed(latest));
+        }
+        let hold = match ask.order {
+            Order::Undrain => return self.lift(&ask.server),
+            Order::Drain => Hold::Drain,
+            Order::LeaveOut(time) => Hold::LeftOut(self.now.saturating_add(time)),
+        };
+        let server = self.servers.get(&ask.server).ok_or(Refusal::Unknown)?;
+        if server.origin {
+            return Err(Refusal::Origin);
+        }
+        if held.is_none() && self.orders.len() >= MOST {
+            return Err(Refusal::TooMany(MOST));
+        }
+        // One that serves no more by the list takes nothing away.
+        let others = self.servers.iter().any(|(name, other)| *name != ask.server && self.serves(name, other));
+        let forced = ask.force && ask.order == Order::Drain; // left out for a time, it would be let in at once
+        if server.listed == State::Serving && !others && !forced {
+            return Err(Refusal::LastServing);
+        }
+        self.numbers += 1;
+        let new = Held { hold, lasting: ask.lasting, number: self.numbers };
+        let replaced = self.orders.insert(ask.server.clone(), new);
+        Ok(Done { number: self.numbers, replaced })
+    }
+
+    fn lift(&mut self, server: &str) -> Result<Done, Refusal> {
+        match self.orders.remove(server) {
+            Some(held) => {
+                self.numbers += 1;
+                Ok(Done { number: self.numbers, replaced: Some(held) })
+            }
+            None if self.servers.contains_key(server) => Err(Refusal::NotHeld),
+            None => Err(Refusal::Unknown),
+        }
+    }
+
+    /// Ends what is over. Tells which servers' states change by it.
+    pub fn tick(&mut self, now: Micros) -> Vec<Change> {
+        self.now = self.now.max(now);
+        self.expire();
+        self.settle()
+    }
+
+    /// When the next order ends by itself.
+    pub fn due(&self) -> Option<Micros> {
+        self.orders.values().filter_map(until).min()
+    }
+
+    /// The order that holds a server.
+    pub fn held(&self, server: &str) -> Option<Held> {
+        self.orders.get(server).copied()
+    }
+
+    /// All orders that hold, by server.
+    pub fn orders(&self) -> impl Iterator<Item = (&str, Held)> {
+        self.orders.iter().map(|(server, held)| (server.as_str(), *held))
+    }
+
+    fn enter(&mut self, Listed { name, state, origin }: Listed) {
+        let Some(listed) = state else {
+            self.servers.remove(&name);
+            return;
+        };
+        let told = self.servers.get(&name).map_or(listed, |server| server.told);
+        self.servers.insert(name, Server { listed, origin, told });
+    }
+
+    /// A name that comes back may be another machine's.
+    fn forget_unlisted(&mut self, name: &str) {
+        if !self.servers.contains_key(name) && self.orders.get(name).is_some_and(|held| !held.lasting) {
+            self.orders.remove(name);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.now;
+        self.orders.retain(|_, held| until(held).is_none_or(|until| until > now));
+    }
+
+    fn serves(&self, name: &str, server: &Server) -> bool {
+        !server.origin && server.listed == State::Serving && !self.orders.contains_key(name)
+    }
+
+    /// Sets all states by list and orders; tells which have changed.
+    fn settle(&mut self) -> Vec<Change> {
+        let starved = !self.servers.iter().any(|(name, server)| self.serves(name, server));
+        let mut changes = Vec::new();
+        for (name, server) in &mut self.servers {
+            let held = self.orders.get(name).filter(|_| !server.origin);
+            let state = match held.map(|held| held.hold) {
+                Some(Hold::Drain) => State::Draining,
+                Some(Hold::LeftOut(_)) if !starved => State::Draining,
+                _ => server.listed,
+            };
+            if std::mem::replace(&mut server.told, state) != state {
+                changes.push(Change { server: name.clone(), state });
+            }
+        }
+        changes
+    }
+
+    fn told(&self, name: &str) -> Option<Change> {
+        self.servers.get(name).map(|server| Change { server: name.to_owned(), state: server.told })
+    }
+}
+
+fn until(held: &Held) -> Option<Micros> {
+    match held.hold {
+        Hold::Drain => None,
+        Hold::LeftOut(until) => Some(until),
+    }
+}
