Take operators' orders at a control socket: drain, undrain, orders

A small site has nobody near who knows the tooling. Orders that last and an audit file, which is bounded, are kept there. Off unless named.

Tests cause a killed node's socket, a second node in the folder, another version, garbage, silent and unread askers, an audit file that can't be written, a kept file that can't be read, control characters in names.

--- /dev/null
+++ b/crates/control/src/words.rs
@@ -0,0 +1,127 @@
+//! What is said over the control socket: a question and its answer are a line of JSON each.
+
+use lilacquay_steer::{Ask, Held, Hold, Micros, Order};
+use serde::{Deserialize, Serialize};
+
+/// The version of these words. A node answers questions of its own version alone.
+pub const VERSION: Version = 1;
+/// The longest line.
+pub const LONGEST: usize = 4096;
+
+/// A version of the words.
+pub type Version = u32;
+
+/// A question, or an order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Question {
+    /// The version that the asker speaks.
+    pub v: Version,
+    /// What is asked.
+    #[serde(flatten)]
+    pub verb: Verb,
+}
+
+/// What is asked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "ask", rename_all = "kebab-case")]
+pub enum Verb {
+    /// The orders that hold.
+    Orders,
+    /// To take a server out of service.
+    Drain {
+        /// Its name.
+        server: String,
+        /// Only for so many seconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        seconds: Option<u64>,
+        /// Also after a restart.
+        #[serde(default)]
+        lasting: bool,
+        /// Also if no cache serves after it.
+        #[serde(default)]
+        force: bool,
+        /// The server's latest order that was seen, 0 for none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        seen: Option<u64>,
+    },
+    /// To lift the order that holds a server.
+    Undrain {
+        /// Its name.
+        server: String,
+        /// The server's latest order that was seen.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        seen: Option<u64>,
+    },
+}
+
+/// The answer to a question.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "kebab-case")]
+pub enum Answer {
+    /// The orders that hold.
+    Orders {
+        /// By server.
+        orders: Vec<Standing>,
+    },
+    /// The order is obeyed.
+    Obeyed {
+        /// Its number.
+        number: u64,
+        /// What it took the place of.
+        replaced: Option<Standing>,
+        /// What could not be recorded of it, and why.
+        unrecorded: Option<String>,
+    },
+    /// The order is not obeyed, and nothing has changed.
+    Refused {
+        /// Why, and what to do.
+        why: String,
+    },
+    /// The question can't be understood.
+    Error {
+        /// The version that the node speaks.
+        v: Version,
+        /// What is wrong with it.
+        what: String,
+    },
+}
+
+/// An order that holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The server.
+    pub server: String,
+    /// How many seconds it holds yet; until it is lifted if there are none.
+    pub seconds_left: Option<f64>,
+    /// Whether it lasts over a restart.
+    pub lasting: bool,
+    /// Its number.
+    pub number: u64,
+}
+
+impl Standing {
+    /// In words, at a time.
+    pub fn new(server: &str, held: Held, now: Micros) -> Self {
+        let seconds_left = match held.hold {
+            Hold::Drain => None,
+            Hold::LeftOut(until) => Some(until.saturating_sub(now) as f64 / 1e6),
+        };
+        Standing { server: server.into(), seconds_left, lasting: held.lasting, number: held.number }
+    }
+}
+
+impl Verb {
+    /// The order that it gives, if it is one.
+    pub fn order(&self) -> Option<Ask> {
+        match self.clone() {
+            Verb::Orders => None,
+            Verb::Drain { server, seconds, lasting, force, seen } => {
+                let time = |seconds: u64| Order::LeaveOut(seconds.saturating_mul(1_000_000));
+                Some(Ask { server, order: seconds.map_or(Order::Drain, time), lasting, force, seen })
+            }
+            Verb::Undrain { server, seen } => {
+                Some(Ask { server, order: Order::Undrain, lasting: false, force: false, seen })
+            }
+        }
+    }
+}
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -25,7 +25,7 @@
 use crate::directory::Directory;
 use crate::members::{List, Members};
 use crate::requests::Requests;
-use crate::steering::Steering;
+use crate::steering::{Holding, Steering};
 use crate::upstream::{Reply, Target, Upstream};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -46,6 +46,7 @@
     ListFailed,
     Quotas(Box<Admission>),
     Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
+    Holding(oneshot::Sender<Holding>),
 }
 
 /// A client's request.
@@ -153,6 +154,13 @@
         let _ = self.0.send(Message::Steer(Box::new(ask), answer)); // its end shows at the receiver
         told
     }
+
+    /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
+    pub fn holding(&self) -> oneshot::Receiver<Holding> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Holding(answer)); // its end shows at the receiver
+        told
+    }
 }
 
 /// Carries out what the module decides, and tells it what happens.
@@ -252,6 +260,11 @@
                     let _ = answer.send(done); // who ordered may have left
                 }
             }
+            Message::Holding(answer) => {
+                if let Some(steering) = &self.steering {
+                    let _ = answer.send(steering.holding(self.clock.now())); // who asked may have left
+                }
+            }
             Message::ListFailed => {
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
             }
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -2,11 +2,22 @@
 
 use std::collections::HashMap;
 
-use lilacquay_steer::{Ask, Change, Done, Kept, Listed, Refusal, Steer};
+use lilacquay_steer::{Ask, Change, Done, Held, Kept, Listed, Refusal, Steer};
 use paddlefold::Micros;
 
 use crate::members::{Entry, List, State};
 
+/// The orders that hold.
+#[derive(Debug, Clone)]
+pub struct Holding {
+    /// By server.
+    pub orders: Vec<(String, Held)>,
+    /// Those of them that are to last over a restart.
+    pub kept: Vec<Kept>,
+    /// The time, by which they end.
+    pub now: Micros,
+}
+
 /// The list as its source tells it, and the orders that are laid over it.
 pub(crate) struct Steering {
     steer: Steer,
@@ -56,6 +67,12 @@
         (done, List { full: false, servers: self.worded(changes) })
     }
 
+    /// The orders that hold.
+    pub fn holding(&self, now: Micros) -> Holding {
+        let orders = self.steer.orders().map(|(server, held)| (server.to_owned(), held)).collect();
+        Holding { orders, kept: self.steer.kept(), now }
+    }
+
     /// Ends orders whose time is over; tells what changes.
     pub fn tick(&mut self, now: Micros) -> List {
         let changes = self.steer.tick(now);
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -36,6 +36,53 @@
     Load(LoadArgs),
     /// Show or change the list of servers in etcd
     Members(MembersArgs),
+    /// Show the orders that hold at a running node
+    Orders(ControlArgs),
+    /// Take a server out of service at a running node: it finishes what it has and gets nothing new
+    Drain(DrainArgs),
+    /// Lift the order that holds a server at a running node
+    Undrain(UndrainArgs),
+}
+
+#[derive(Args)]
+pub struct ControlArgs {
+    /// The node's state folder, `folder` of [control] in its options
+    #[arg(long, value_name = "FOLDER")]
+    pub state: PathBuf,
+    /// Print the answer in JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Args)]
+pub struct DrainArgs {
+    /// The server's name in the list
+    pub server: String,
+    #[command(flatten)]
+    pub control: ControlArgs,
+    /// Only for this time, as in `10m`
+    #[arg(long = "for", value_name = "TIME", value_parser = humantime::parse_duration)]
+    pub time: Option<Duration>,
+    /// Also after a restart of the node
+    #[arg(long)]
+    pub lasting: bool,
+    /// Also if no cache serves after it
+    #[arg(long, conflicts_with = "time")]
+    pub force: bool,
+    /// Only if the server's latest order has this number, 0 for none
+    #[arg(long, value_name = "NUMBER")]
+    pub seen: Option<u64>,
+}
+
+#[derive(Args)]
+pub struct UndrainArgs {
+    /// The server's name in the list
+    pub server: String,
+    #[command(flatten)]
+    pub control: ControlArgs,
+    /// Only if the server's latest order has this number
+    #[arg(long, value_name = "NUMBER")]
+    pub seen: Option<u64>,
 }
 
 #[derive(Args)]
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -57,6 +57,8 @@
     pub memcached: Option<(Memcached, Ready)>,
     /// Quotas, of names that the settings have.
     pub quota: Option<Quota>,
+    /// The state folder, in which operators' orders are taken.
+    pub control: Option<PathBuf>,
     pub seed: u64,
     pub sockets: usize,
     pub memory_mb: usize,
@@ -271,6 +273,7 @@
             etcd: etcd.map(|(settings, etcd)| (etcd, settings)),
             memcached,
             quota,
+            control: said.and_then(|said| said.control.clone()),
             seed: read.seed,
             sockets: said.and_then(|said| said.sockets).or(read.limits.sockets).unwrap_or(SOCKETS),
             memory_mb: said.and_then(|said| said.memory_mb).or(read.limits.memory_mb).unwrap_or(MEMORY_MB),
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod cli;
 mod config;
+mod control;
 mod etcd;
 mod fleet;
 mod load;
@@ -29,6 +30,9 @@
         Some(Command::Fleet(args)) => end(fleet::run(args)),
         Some(Command::Load(args)) => load::run(args),
         Some(Command::Members(args)) => end(members::run(args)),
+        Some(Command::Orders(args)) => control::orders(&args),
+        Some(Command::Drain(args)) => control::drain(args),
+        Some(Command::Undrain(args)) => control::undrain(args),
     }
 }
 
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use lilacquay_control::{Control, Folder};
 use lilacquay_core::{Driver, Handles, Members, Options, Orders, log};
 use lilacquay_etcd::Settings;
 use lilacquay_fronts::Hall;
@@ -35,8 +36,9 @@
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
+    let state = config.control.as_deref().map(Folder::new).transpose().map_err(of_state)?;
+    let steered = state.as_ref().map(Folder::orders).transpose().map_err(of_state)?;
     let listener = bind(config.listen).await?;
-    log(format_args!("listening on {}", listener.local_addr()?));
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (connections, memory) = (config.server_connections(), config.request_memory());
     let (version, known) = (config.known.version, config.known.list.clone());
@@ -48,7 +50,7 @@
         connections,
         memory,
         quotas,
-        steered: None,
+        steered,
     };
     let names = config.setup.names.clone();
     let kinds = config.memcached.as_ref().map(|(_, ready)| ready.kinds.clone());
@@ -61,6 +63,11 @@
         fronts.push((bind(listener.address).await?, listener));
     }
     let driver = tokio::spawn(driver.run());
+    if let Some(state) = state {
+        let control = Control::listen(state, orders.clone()).map_err(of_state)?;
+        tokio::spawn(control.run());
+    }
+    log(format_args!("listening on {}", listener.local_addr()?));
     let followed = Followed::start(members, orders, version, &config);
     tokio::spawn(followed.follow_configuration(reload, source));
     let mut accepting = JoinSet::new();
@@ -82,6 +89,12 @@
     Ok(())
 }
 
+/// What is wrong with the state folder.
+fn of_state(error: io::Error) -> io::Error {
+    let mend = "name a folder that this node alone may write, in [control]";
+    io::Error::new(error.kind(), format!("the state folder can't be used: {error}; {mend}"))
+}
+
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let error = |e: io::Error| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}"));
     TcpListener::bind(address).await.map_err(error)
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -30,6 +30,8 @@
     pub memcached: Option<Memcached>,
     /// Quotas.
     pub quota: Option<Quota>,
+    /// The state folder, in which operators' orders are taken.
+    pub control: Option<PathBuf>,
 }
 
 impl Options {
@@ -53,7 +55,7 @@
     fn parse(file: &Path, text: &str, mistakes: &mut Mistakes) -> Option<(Options, Named)> {
         let table = section::parse(text, "deploy/serve.toml", mistakes)?;
         let mut root = Section::root(&table, mistakes);
-        root.only(&["node", "resp", "discovery", "limits", "etcd", "memcached", "quota"]);
+        root.only(&["node", "resp", "discovery", "limits", "etcd", "memcached", "quota", "control"]);
         let node = root.text("node");
         if node.is_none() && !root.has("node") {
             root.missing("node", "name the platform's JSON file, as in node = \"node.json\"");
@@ -69,10 +71,22 @@
         limits.only(&["sockets", "memory_mb"]);
         let (sockets, memory_mb) =
             (limits.number("sockets", 48..=1 << 20), limits.number("memory_mb", 16..=1 << 20));
+        let mut control = root.section("control");
+        control.only(&["folder"]);
         let folder = file.parent().unwrap_or(Path::new(""));
+        let control = control.text("folder").map(|state| folder.join(state));
         let node = folder.join(node?);
-        let options =
-            Options { node, listen, discovery, sockets, memory_mb, etcd: None, memcached: None, quota: None };
+        let options = Options {
+            node,
+            listen,
+            discovery,
+            sockets,
+            memory_mb,
+            etcd: None,
+            memcached: None,
+            quota: None,
+            control,
+        };
         let named = |file: Option<&str>| file.map(|file| folder.join(file));
         Some((options, Named { etcd: named(etcd), memcached: named(memcached), quota: named(quota) }))
     }
@@ -108,6 +122,7 @@
         let options = Options::read(&file).unwrap();
         assert!(options.etcd.is_some() && options.memcached.is_some() && options.quota.is_some());
         assert!(options.node.ends_with("node.json"));
+        assert!(options.control.is_some_and(|folder| folder.ends_with("state")));
         assert!(options.listen.is_some() && options.discovery.is_some());
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
     }
@@ -119,7 +134,7 @@
             ("[limits]", "1: node: missing; name the platform's JSON file, as in node = \"node.json\""),
             (
                 "node = \"n\"\nport = 1",
-                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd, memcached, quota",
+                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd, memcached, quota, control",
             ),
             ("node = \"n\"\nresp = 1", "2: resp: not a table; write [resp] and its keys below"),
             (
