--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,4 +9,4 @@
 pub use client::{Client, ClientError};
 pub use folder::Folder;
 pub use server::Control;
-pub use words::{Answer, Question, Standing, Verb, Version};
+pub use words::{Answer, Question, Server, Standing, Verb, Version};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -14,7 +14,7 @@
 use tokio_util::codec::{Framed, LinesCodec};
 
 use crate::folder::Folder;
-use crate::words::{Answer, LONGEST, Question, Standing, VERSION, Verb};
+use crate::words::{Answer, LONGEST, Question, Server, Standing, VERSION, Verb};
 
 /// Who speaks at once; others wait until one is done.
 const MOST: usize = 16;
@@ -101,6 +101,10 @@
             Err(error) => return wrong(format!("no question: {error}")),
         };
         match verb.order() {
+            None if verb == Verb::Servers => match self.orders.servers().await {
+                Ok(servers) => Answer::Servers { servers: servers.into_iter().map(Server::new).collect() },
+                Err(_) => ended(),
+            },
             None => self.holding().await,
             Some(ask) => match self.orders.steer(ask).await {
                 Ok(Ok(done)) => self.obeyed(verb, &done).await,
@@ -146,7 +150,7 @@
 
 fn server(verb: &Verb) -> &str {
     match verb {
-        Verb::Orders => "",
+        Verb::Orders | Verb::Servers => "",
         Verb::Drain { server, .. } | Verb::Undrain { server, .. } => server,
     }
 }
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -1,5 +1,6 @@
 //! What is said over the control socket: a question and its answer are a line of JSON each.
 
+use lilacquay_core::{ServerNow, State};
 use lilacquay_steer::{Ask, Held, Hold, Micros, Order};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,8 @@
 pub enum Verb {
     /// The orders that hold.
     Orders,
+    /// The servers of the list and what is out at each.
+    Servers,
     /// To take a server out of service.
     Drain {
         /// Its name.
@@ -63,6 +66,11 @@
         /// By server.
         orders: Vec<Standing>,
     },
+    /// The servers of the list.
+    Servers {
+        /// By name.
+        servers: Vec<Server>,
+    },
     /// The order is obeyed.
     Obeyed {
         /// Its number.
@@ -99,6 +107,37 @@
     pub number: u64,
 }
 
+/// A server of the list.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    /// Its name.
+    pub server: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its kind of machine.
+    pub kind: String,
+    /// Whether it serves by the list.
+    pub listed: bool,
+    /// Whether it serves, under the orders.
+    pub serves: bool,
+    /// The node's requests that are out there.
+    pub out: usize,
+    /// The node's connections that rest there.
+    pub idle: usize,
+    /// The number of the order that holds it.
+    pub order: Option<u64>,
+}
+
+impl Server {
+    /// In words.
+    pub fn new(now: ServerNow) -> Self {
+        let ServerNow { name, zone, kind, listed, state, out, idle, held } = now;
+        let (listed, serves) = (listed == State::Serving, state == State::Serving);
+        let order = held.map(|held| held.number);
+        Server { server: name, zone, kind, listed, serves, out, idle, order }
+    }
+}
+
 impl Standing {
     /// In words, at a time.
     pub fn new(server: &str, held: Held, now: Micros) -> Self {
@@ -114,7 +153,7 @@
     /// The order that it gives, if it is one.
     pub fn order(&self) -> Option<Ask> {
         match self.clone() {
-            Verb::Orders => None,
+            Verb::Orders | Verb::Servers => None,
             Verb::Drain { server, seconds, lasting, force, seen } => {
                 let time = |seconds: u64| Order::LeaveOut(seconds.saturating_mul(1_000_000));
                 Some(Ask { server, order: seconds.map_or(Order::Drain, time), lasting, force, seen })
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Of each server by name: its id, whether it serves, and how many connections rest there.
+    pub fn by_name(&self) -> HashMap<&str, (ServerId, bool, usize)> {
+        let entry =
+            |(id, server): (&ServerId, &Server<C>)| (*id, server.standing.serving(), server.idle.len());
+        self.servers.iter().map(|one| (one.1.name.as_str(), entry(one))).collect()
+    }
+
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
         self.servers.values().map(|server| server.idle.len()).sum()
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -25,7 +25,7 @@
 use crate::directory::Directory;
 use crate::members::{List, Members};
 use crate::requests::Requests;
-use crate::steering::{Holding, Steering};
+use crate::steering::{Holding, ServerNow, Steering};
 use crate::upstream::{Reply, Target, Upstream};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -47,6 +47,7 @@
     Quotas(Box<Admission>),
     Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
     Holding(oneshot::Sender<Holding>),
+    Servers(oneshot::Sender<Vec<ServerNow>>),
 }
 
 /// A client's request.
@@ -80,6 +81,7 @@
 }
 
 struct Running {
+    server: ServerId,
     sent: Instant,
     task: AbortHandle,
     timer: delay_queue::Key,
@@ -155,6 +157,14 @@
         told
     }
 
+    /// The servers of the list and what is out at each. A core that was made without steering, or has ended,
+    /// answers nothing.
+    pub fn servers(&self) -> oneshot::Receiver<Vec<ServerNow>> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Servers(answer)); // its end shows at the receiver
+        told
+    }
+
     /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
     pub fn holding(&self) -> oneshot::Receiver<Holding> {
         let (answer, told) = oneshot::channel();
@@ -265,6 +275,11 @@
                     let _ = answer.send(steering.holding(self.clock.now())); // who asked may have left
                 }
             }
+            Message::Servers(answer) => {
+                if let Some(steering) = &self.steering {
+                    let _ = answer.send(self.servers(steering)); // who asked may have left
+                }
+            }
             Message::ListFailed => {
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
             }
@@ -318,6 +333,19 @@
         self.enter(list);
     }
 
+    /// Walks over all that is open: asked by an operator, not by each request.
+    fn servers(&self, steering: &Steering) -> Vec<ServerNow> {
+        let mut out: HashMap<ServerId, usize> = HashMap::new();
+        for running in self.open.values().flat_map(|open| open.attempts.iter().flatten()) {
+            *out.entry(running.server).or_default() += 1;
+        }
+        let known = self.directory.by_name();
+        steering.servers(|name| {
+            let (id, serves, idle) = known.get(name).copied().unwrap_or((ServerId(0), false, 0));
+            (serves, out.get(&id).copied().unwrap_or(0), idle)
+        })
+    }
+
     /// What orders change. Where they change nothing the module is told nothing: it would take that for an answer
     /// of the list's source.
     fn steered(&mut self, changes: List) {
@@ -409,7 +437,7 @@
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER));
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { sent: now, task, timer }));
+        open.attempts.push(Some(Running { server, sent: now, task, timer }));
         self.running += 1;
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,7 +29,7 @@
 pub use members::{Entry, List, Members, State};
 pub use paddlefold::{Micros, Outcome};
 pub use requests::{InUse, Pending, Requests};
-pub use steering::Holding;
+pub use steering::{Holding, ServerNow};
 pub use upstream::{Connection, Reply, Target, Upstream};
 
 /// A line for the log. Guards against: a panic where nobody reads the log any more.
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -18,6 +18,27 @@
     pub now: Micros,
 }
 
+/// A server as a running core has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerNow {
+    /// Its name in the list.
+    pub name: String,
+    /// Its zone, by name.
+    pub zone: String,
+    /// Its kind of machine, by name.
+    pub kind: String,
+    /// What the list says.
+    pub listed: State,
+    /// What holds, under the orders.
+    pub state: State,
+    /// Our requests that are out there.
+    pub out: usize,
+    /// Our connections that rest there.
+    pub idle: usize,
+    /// The order that holds it.
+    pub held: Option<Held>,
+}
+
 /// The list as its source tells it, and the orders that are laid over it.
 pub(crate) struct Steering {
     steer: Steer,
@@ -79,6 +100,26 @@
         List { full: false, servers: self.worded(changes) }
     }
 
+    /// The servers of the list, by name; of each, `now` tells whether it serves, what is out there and what rests.
+    pub fn servers(&self, now: impl Fn(&str) -> (bool, usize, usize)) -> Vec<ServerNow> {
+        let server = |entry: &Entry| {
+            let (serves, out, idle) = now(&entry.id);
+            ServerNow {
+                name: entry.id.clone(),
+                zone: entry.zone.clone(),
+                kind: entry.kind.clone(),
+                listed: entry.state,
+                state: if serves { State::Serving } else { State::Draining },
+                out,
+                idle,
+                held: self.steer.held(&entry.id),
+            }
+        };
+        let mut servers: Vec<ServerNow> = self.entries.values().map(server).collect();
+        servers.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        servers
+    }
+
     fn worded(&self, changes: Vec<Change>) -> Vec<Entry> {
         let entry = |change: Change| {
             let state = match change.state {
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -36,6 +36,8 @@
     Load(LoadArgs),
     /// Show or change the list of servers in etcd
     Members(MembersArgs),
+    /// Show the servers of a running node and what it has out at each
+    Status(ControlArgs),
     /// Show the orders that hold at a running node
     Orders(ControlArgs),
     /// Take a server out of service at a running node: it finishes what it has and gets nothing new
@@ -69,6 +71,9 @@
     /// Also if no cache serves after it
     #[arg(long, conflicts_with = "time")]
     pub force: bool,
+    /// Stay until the node has nothing out at the server, and tell what it still holds; 60 s at most
+    #[arg(long)]
+    pub wait: bool,
     /// Only if the server's latest order has this number, 0 for none
     #[arg(long, value_name = "NUMBER")]
     pub seen: Option<u64>,
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -30,6 +30,7 @@
         Some(Command::Fleet(args)) => end(fleet::run(args)),
         Some(Command::Load(args)) => load::run(args),
         Some(Command::Members(args)) => end(members::run(args)),
+        Some(Command::Status(args)) => control::status(&args),
         Some(Command::Orders(args)) => control::orders(&args),
         Some(Command::Drain(args)) => control::drain(args),
         Some(Command::Undrain(args)) => control::undrain(args),
--- a/crates/lilacquay/tests/control.rs
+++ b/crates/lilacquay/tests/control.rs
@@ -115,6 +115,47 @@
     assert!(lines.iter().all(|line| line["at_ms"].as_u64() > Some(1_700_000_000_000)));
 }
 
+#[test]
+fn a_drain_is_followed_until_the_last_answer_and_status_tells_what_is_out() {
+    let s = Stage::new();
+    let mut clients: Vec<Client> = (0..20).map(|_| s.node.as_ref().unwrap().client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&["CACHE.GET", &format!("k{n}"), &format!("id-{n}"), "c=read,d=60000"]);
+    }
+    // As many as are let out at once; those beyond wait for a place. What is told comes to what the box has.
+    let (mut held, start) = (vec![s.caches[0].call()], Instant::now());
+    let status = loop {
+        held.extend(std::iter::from_fn(|| s.caches[0].called()));
+        let status = json(&s.run(&["status", "--json"]));
+        if status["servers"][1]["out"].as_u64() == Some(held.len() as u64) {
+            break status;
+        }
+        assert!(start.elapsed() < PATIENCE, "{status}");
+    };
+    let servers = status["servers"].as_array().unwrap();
+    let names: Vec<&str> = servers.iter().map(|one| one["server"].as_str().unwrap()).collect();
+    assert_eq!(names, ["o", "s-1", "s-2"]);
+    assert_eq!((&servers[1]["serves"], &servers[1]["order"]), (&Value::Bool(true), &Value::Null));
+    let state = s.state();
+    let drain = thread::spawn(move || run(&state, &["drain", "s-1", "--wait"]));
+    let drained = || json(&s.run(&["status", "--json"]))["servers"][1]["serves"] == Value::Bool(false);
+    while !drained() {
+        assert!(start.elapsed() < PATIENCE);
+    }
+    assert!(!drain.is_finished(), "while answers are owed");
+    held.into_iter().for_each(|call| call.value("v"));
+    // Copies and those that waited go to the other.
+    while !drain.is_finished() {
+        assert!(s.caches[0].called().is_none(), "something new to a box that drains");
+        s.caches[1].called().into_iter().for_each(|call| call.value("v"));
+        assert!(start.elapsed() < PATIENCE);
+    }
+    let drain = drain.join().unwrap();
+    assert!(drain.status.success() && said(&drain).contains("0 requests are out there yet"), "{drain:?}");
+    let text = String::from_utf8(s.run(&["status"]).stdout).unwrap();
+    assert!(text.lines().any(|l| l.starts_with("s-1 ") && l.ends_with("out of service (order 1)")), "{text}");
+}
+
 #[test]
 fn what_lasts_holds_in_the_next_node_which_takes_the_place_of_one_that_was_killed() {
     let mut s = Stage::new();
