Watch discovery from the known version, and the more rarely the more nodes there are

Each node asked for the whole list at its start and again after each failure, and then watched anew every 2 s: 50 calls a second on a service that takes one call from every node in 2 to 8 s.

A node that knows a version now watches from there, and where discovery is one service for all, a watch waits 250 ms for each node that there is (2 s to 60 s), so that a fleet of any size makes about four calls a second. A connection to discovery that never comes up is given up after 1 s.

--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -41,7 +41,7 @@
     let listener = bind(config.listen).await?;
     let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
     let (connections, memory) = (config.server_connections(), config.request_memory());
-    let (version, known) = (config.known.version, config.known.list.clone());
+    let known = config.known.list.clone();
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
     let options = Options {
         setup: config.setup.clone(),
@@ -68,7 +68,7 @@
         tokio::spawn(control.run());
     }
     log(format_args!("listening on {}", listener.local_addr()?));
-    let followed = Followed::start(members, orders, version, &config);
+    let followed = Followed::start(members, orders, &config);
     tokio::spawn(followed.follow_configuration(reload, source));
     let mut accepting = JoinSet::new();
     accepting.spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
@@ -118,10 +118,12 @@
 
 impl Followed {
     /// Starts the sources. Where there are two, etcd goes before discovery: its first list ends that.
-    fn start(members: Members, orders: Orders, version: u64, config: &Config) -> Followed {
+    fn start(members: Members, orders: Orders, config: &Config) -> Followed {
+        let known = Some(config.known.version).filter(|_| !config.known.list.servers.is_empty());
+        let nodes = config.setup.settings.nodes;
         let discovery = config.discovery.map(|at| {
             let (to, address) = watch::channel(at);
-            (to, tokio::spawn(discovery::Watch::new(members.clone(), version).run(address)))
+            (to, tokio::spawn(discovery::Watch::new(members.clone(), known, nodes).run(address)))
         });
         let (discovery, rival) = discovery.unzip();
         let etcd = config.etcd.clone().map(|(etcd, settings)| {
--- a/crates/members/src/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -21,6 +21,14 @@
 /// that has fallen silent and is believed to have no news for long; what it has to tell counts as told
 /// after 6 s, and 4 s after a reload.
 const WAIT: Duration = Duration::from_secs(2);
+/// The longest that a watch may wait, by the protocol.
+const LONGEST: Duration = Duration::from_secs(60);
+/// Where discovery is one service that all nodes ask, each waits so long for each node that there is, so that all
+/// together call it no more often than a small fleet does.
+///
+/// Guards against: a service that works through calls in turn and is kept busy by hundreds of watches that are
+/// asked anew every other second, so that it turns them all away.
+const WAIT_FOR_EACH: Duration = Duration::from_millis(250);
 const ANSWER: Duration = Duration::from_secs(1);
 /// A failed call is repeated after this time: a watch goes on only if its next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -113,7 +121,10 @@
     to: Members,
     after: u64,
     connection: Option<Client>,
-    /// Whether the whole list is wanted: what is known from before may be old.
+    /// How long a watch waits for news.
+    wait: Duration,
+    /// Whether the whole list is wanted: nothing is known, or from another address. What has changed since a known
+    /// version is less to send, and fails less where discovery is pressed.
     whole: bool,
     /// Whether the next call must wait until it is due.
     held: bool,
@@ -130,10 +141,12 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 impl Watch {
-    /// A watch that knows a list of this version.
-    pub fn new(to: Members, after: u64) -> Self {
+    /// A watch of one of so many nodes that knows a list of this version, if it knows one.
+    pub fn new(to: Members, after: Option<u64>, nodes: usize) -> Self {
         let held = to.asked().is_some();
-        Watch { to, after, connection: None, whole: true, held, complained: false }
+        let wait = if held { wait_among(nodes) } else { WAIT };
+        let whole = after.is_none();
+        Watch { to, after: after.unwrap_or(0), wait, connection: None, whole, held, complained: false }
     }
 
     /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list. A
@@ -168,9 +181,9 @@
         }
         let path = match self.whole {
             true => "/discovery/hosts".to_owned(),
-            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, WAIT.as_millis()),
+            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, self.wait.as_millis()),
         };
-        let limit = if self.whole { ANSWER } else { WAIT + ANSWER };
+        let limit = if self.whole { ANSWER } else { self.wait + ANSWER };
         let told = timeout(limit, self.fetch(at, &path)).await.unwrap_or_else(|late| Err(late.into()));
         self.held = told.is_err();
         match told {
@@ -192,7 +205,7 @@
     async fn fetch(&mut self, at: SocketAddr, path: &str) -> Result<Told, Error> {
         let mut client = match self.connection.take().filter(|client| !client.sender.is_closed()) {
             Some(client) => client,
-            None => connect(at).await?,
+            None => timeout(ANSWER, connect(at)).await??,
         };
         client.sender.ready().await?;
         let request = Request::get(path).header(HOST, at.to_string()).body(Empty::<Bytes>::new())?;
@@ -211,6 +224,11 @@
     }
 }
 
+/// How long each of so many nodes waits for news from one service.
+fn wait_among(nodes: usize) -> Duration {
+    WAIT_FOR_EACH.saturating_mul(u32::try_from(nodes).unwrap_or(u32::MAX)).clamp(WAIT, LONGEST)
+}
+
 async fn connect(at: SocketAddr) -> Result<Client, Error> {
     let stream = TcpStream::connect(at).await?;
     stream.set_nodelay(true)?;
