Keep one connection to each server, and spares the shorter the more nodes there are

Idle ones were closed after Keepalive * 8 / Siblings, 1.2 s at 100 nodes, while a pair of node and cache meets every 4 s.

The first connection to a server now rests for the keep-alive time. Those beyond it rest for that time divided by Siblings, which the pool itself looks after; the module's timer for each outcome and its word to close are gone.

The directory's two tests fail without; those of the module's timer are gone with it.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -33,13 +33,22 @@
 /// The servers by id.
 pub(crate) struct Directory<C> {
     servers: HashMap<ServerId, Server<C>>,
-    /// An idle connection is closed at this age: before the server does it.
+    /// An idle connection is closed at this age: before the server does it ...
     idle_limit: Duration,
+    /// ... and at this one, where a younger one is idle at the same server.
+    spare_limit: Duration,
 }
 
 impl<C: Connection> Directory<C> {
-    pub fn new(keepalive: Duration) -> Self {
-        Directory { servers: HashMap::new(), idle_limit: keepalive * 9 / 10 }
+    /// For one of so many nodes.
+    ///
+    /// Guards against: a server's table of connections that is full of what hundreds of nodes keep beyond the one
+    /// that they need, so that those who have none are turned away. All nodes together keep no more to spare than a
+    /// small fleet does.
+    pub fn new(keepalive: Duration, nodes: usize) -> Self {
+        let idle_limit = keepalive * 9 / 10;
+        let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+        Directory { servers: HashMap::new(), idle_limit, spare_limit: idle_limit / nodes }
     }
 
     /// Takes over a list; tells the module's view of its entries. Servers of which kinds of machine discard the
@@ -129,23 +138,23 @@
 
     /// Keeps a connection for the next request, if its server still takes some at that address.
     pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
+        let spare = self.spare_limit;
         if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
+            server.idle.retain(|(since, _)| now < *since + spare);
             server.idle.push((now, connection));
         }
     }
 
-    /// Closes the idle connections to a server.
-    pub fn disconnect(&mut self, id: ServerId) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.idle.clear();
-        }
-    }
-
     /// Closes idle connections that are too old, or that the server has closed.
     pub fn sweep(&mut self, now: Instant) {
-        let limit = self.idle_limit;
+        let (limit, spare) = (self.idle_limit, self.spare_limit);
         for server in self.servers.values_mut() {
-            server.idle.retain(|(since, connection)| now < *since + limit && connection.is_live());
+            let last = server.idle.len().saturating_sub(1);
+            let mut place = 0..;
+            server.idle.retain(|(since, connection)| {
+                let limit = if place.next() < Some(last) { spare } else { limit };
+                now < *since + limit && connection.is_live()
+            });
         }
     }
 
@@ -177,3 +186,67 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::call::Call;
+    use crate::upstream::Reply;
+
+    /// A connection by its number.
+    struct Numbered(u32);
+
+    impl Connection for Numbered {
+        fn is_live(&self) -> bool {
+            true
+        }
+        async fn ask(self, _: &Call, _: &Target, _: Duration) -> (Reply, Option<Self>) {
+            unreachable!("nothing is sent")
+        }
+    }
+
+    const KEEPALIVE: Duration = Duration::from_secs(10);
+
+    /// One of so many nodes, with one server in its list.
+    fn directory(nodes: usize) -> (Directory<Numbered>, ServerId, SocketAddr) {
+        let stated = r#"{"Classes":[],"Skus":["m"]}"#;
+        let stated: paddlefold::setup::Stated = serde_json::from_str(stated).expect("settings");
+        let mut setup = Setup::try_from(stated).expect("settings");
+        let addr = "127.0.0.1:1".parse().expect("an address");
+        let (id, zone, kind, state) = ("s".to_owned(), "a".to_owned(), "m".to_owned(), State::Serving);
+        let entry = Entry { id, addr, zone, kind, cell: 0, state, weight: None, started_ms: 0.0 };
+        let mut directory = Directory::new(KEEPALIVE, nodes);
+        let members = directory.apply(List { full: true, servers: vec![entry] }, &mut setup, |_| true);
+        (directory, members[0].id, addr)
+    }
+
+    /// How many of three connections that were given back at once are left after a time.
+    fn left_after(nodes: usize, time: Duration) -> usize {
+        let (mut directory, id, addr) = directory(nodes);
+        let now = Instant::now();
+        (0..3).for_each(|n| directory.check_in(id, addr, Numbered(n), now));
+        directory.sweep(now + time);
+        directory.idle()
+    }
+
+    #[test]
+    fn one_idle_connection_is_kept_whatever_the_number_of_nodes_and_spares_the_shorter() {
+        for nodes in [0, 1, 3, 100, 300, usize::MAX] {
+            assert_eq!(left_after(nodes, KEEPALIVE * 8 / 10), if nodes < 2 { 3 } else { 1 }, "{nodes}");
+            assert_eq!(left_after(nodes, KEEPALIVE * 9 / 10), 0, "{nodes}: before the server closes it");
+        }
+        assert_eq!(left_after(3, KEEPALIVE * 2 / 10), 3, "a few nodes keep theirs");
+        assert_eq!(left_after(100, KEEPALIVE / 10), 1);
+    }
+
+    #[test]
+    fn the_spare_that_closes_is_the_one_used_longest_ago() {
+        let (mut directory, id, addr) = directory(100);
+        let now = Instant::now();
+        directory.check_in(id, addr, Numbered(1), now);
+        directory.check_in(id, addr, Numbered(2), now + KEEPALIVE / 10);
+        assert_eq!(directory.idle(), 1, "without waiting for a sweep");
+        let (_, pooled) = directory.check_out(id, now + KEEPALIVE / 5).expect("it is listed");
+        assert_eq!(pooled.map(|connection| connection.0), Some(2));
+    }
+}
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -206,7 +206,7 @@
         let subscribe = Arc::new(Notify::new());
         let asked = settings.must_subscribe.then(|| subscribe.clone());
         let mut driver = Driver {
-            directory: Directory::new(Duration::from_micros(settings.keepalive)),
+            directory: Directory::new(Duration::from_micros(settings.keepalive), settings.nodes),
             balancer: Balancer::new(settings, options.seed, clock.now()),
             setup: options.setup,
             quotas: options.quotas,
@@ -321,7 +321,6 @@
                 self.timers.insert(Due::Module(token), Duration::from_micros(after).min(LONGEST_TIMER));
             }
             Action::Subscribe => self.subscribe.notify_one(),
-            Action::Disconnect(server) => self.directory.disconnect(server),
         }
     }
 
--- a/crates/paddlefold/src/api.rs
+++ b/crates/paddlefold/src/api.rs
@@ -365,6 +365,4 @@
     },
     /// Ask for changes of the list from now on.
     Subscribe,
-    /// Close our idle connections to a server.
-    Disconnect(ServerId),
 }
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -42,9 +42,6 @@
 /// Attempts of ours at a gate at the start, and what is held to be usual at first.
 const START: f64 = 8.0;
 const USUAL: f64 = 48.0;
-/// So many nodes may keep their connections for the whole of the keep-alive time.
-const IDLE_NODES: f64 = 8.0;
-const IDLE_TIMER: TimerToken = TimerToken(u64::MAX - 1);
 /// A zone is cut off from ours when this many connections fail in a row while another zone answers.
 const CUT: u32 = 3;
 const LIST_TIMER: TimerToken = TimerToken(u64::MAX);
@@ -64,7 +61,6 @@
     unsized_list: bool,          // the list tells no sizes: all weigh the same
     zones: BTreeMap<u32, Reach>, // how the zones answer
     kinds: BTreeMap<u32, Pace>,  // how quick the kinds of machines are
-    idle_time: Micros,           // how long a connection of ours may idle
     holders: Holders,
     hastes: Hastes,
     copies: f64,
@@ -95,7 +91,6 @@
             unsized_list: true,
             zones: BTreeMap::new(),
             kinds: BTreeMap::new(),
-            idle_time: (settings.keepalive as f64 * (IDLE_NODES / settings.nodes as f64).min(1.0)) as Micros,
             holders: Holders::new(),
             hastes: Hastes::new(now),
             copies: 1.0,
@@ -128,7 +123,6 @@
             }
             Event::ClientGone(id) => self.end(id, out),
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
-            Event::Timer(IDLE_TIMER) => self.thin_out(out),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
         }
     }
@@ -325,10 +319,6 @@
         }
         lost.into_iter().for_each(|id| self.hedge(id, out));
         self.admit_queued(usize::from(at_origin), out);
-        if let Some(s) = self.servers.get_mut(&to).filter(|s| s.out.is_empty()) {
-            s.idle_since = Some(self.now);
-            out.push(Action::SetTimer { after: self.idle_time, token: IDLE_TIMER });
-        }
         if self.open.get(&id).is_some_and(|r| r.settled && r.outstanding() == 0) {
             self.open.remove(&id);
         }
@@ -392,17 +382,6 @@
         }
     }
 
-    /// Guards against: full connection tables, where many nodes each keep idle connections to all caches.
-    /// The more nodes, the sooner each closes its own, so that their sum at a cache does not grow with them.
-    fn thin_out(&mut self, out: &mut Vec<Action>) {
-        let over =
-            |s: &&mut Server| s.idle_since.is_some_and(|t| self.now >= t.saturating_add(self.idle_time));
-        for s in self.servers.values_mut().filter(over) {
-            s.idle_since = None;
-            out.push(Action::Disconnect(s.member.id));
-        }
-    }
-
     /// Adapts how many attempts we keep out: fewer when much goes badly, more while all goes well, and
     /// quickly so up to half the usual: after a restart or a jam a node is not held back.
     fn adapt(gate: &mut Gate, least: f64, now: Micros, bad: bool, tau: f64) {
@@ -489,7 +468,6 @@
         let retry_at = self.now + 4 * due_in; // readmitted by a trickle
         s.retry_at = if suspect { retry_at } else { s.retry_at };
         zone.retry_at = if zone.failed + 1 >= CUT { retry_at } else { zone.retry_at };
-        s.idle_since = None;
         s.out.insert((self.now + due_in, id, r.tries.len()));
         self.gates[usize::from(origin)].out += 1;
         r.wait = Wait::Nothing;
--- a/crates/paddlefold/src/state.rs
+++ b/crates/paddlefold/src/state.rs
@@ -187,8 +187,6 @@
     /// Response times in comparison with all caches, 1 being usual.
     pub slowness: f64,
     pub heard: Option<Micros>,
-    /// Since when a connection to it idles.
-    pub idle_since: Option<Micros>,
     /// Attempts without an answer, in a row.
     pub silent: u32,
     /// While it is left out: when one request may try it again.
--- a/crates/paddlefold/src/wire.rs
+++ b/crates/paddlefold/src/wire.rs
@@ -227,12 +227,6 @@
         instance: u64,
         words: String,
     },
-    #[serde(rename_all = "PascalCase")]
-    LetGo {
-        #[serde(rename = "I")]
-        instance: u64,
-        server: u32,
-    },
     Eor {
         n: u64,
     },
@@ -340,7 +334,6 @@
             Reply::NotifyMe { instance, after: millis(after), token: token.0.to_string() }
         }
         Action::Subscribe => Reply::Subscribe { instance, active: true },
-        Action::Disconnect(server) => Reply::LetGo { instance, server: server.0 },
     }
 }
 
