Weigh a sample of a cache by the time since the last, and forget what was seen

A sample now weighs 1 - exp(-t / 3 s) after t without one, 0.15 at least, and slowness goes back to usual with a time of 10 s.

--- a/crates/paddlefold/src/cost.rs
+++ b/crates/paddlefold/src/cost.rs
@@ -53,13 +53,13 @@
         // A cache not yet heard from counts at the others' mean, never idle.
         let mean = self.gates[CACHES].out as f64 / self.caches.max(1) as f64;
         let held = (s.out.len() as f64).max(if s.heard.is_none() { mean } else { 0.0 });
-        (held + 1.0) * s.slowness
+        (held + 1.0) * s.slowness(self.now)
     }
 
     /// Idle room: nothing of ours out, and about as quick as all are when uncongested.
     pub(super) fn idle(&self, s: &Server, class: usize) -> bool {
         let timing = &self.timings[class];
-        s.out.is_empty() && s.slowness * timing.mean < SLOW / 2.0 * timing.base
+        s.out.is_empty() && s.slowness(self.now) * timing.mean < SLOW / 2.0 * timing.base
     }
 
     /// What a read loses beside the queue if it asks this cache, in requests in flight there.
--- a/crates/paddlefold/src/health.rs
+++ b/crates/paddlefold/src/health.rs
@@ -95,14 +95,15 @@
             // A cancelled attempt tells something only if it was overdue.
             Outcome::Canceled | Outcome::Ignored => s.silent += u32::from(overdue),
         }
+        let before = s.slowness(self.now);
         let slowness = match outcome {
             // A miss waits for the origin, which is not the cache's fault.
             Outcome::Ok if end.hit != Some(false) => sample,
-            Outcome::Canceled | Outcome::TimedOut => sample.max(s.slowness),
+            Outcome::Canceled | Outcome::TimedOut => sample.max(before),
             Outcome::QueueFull => 2.0 * SLOW,
-            _ => s.slowness,
+            _ => before,
         };
-        s.slowness += (slowness - s.slowness) * if s.slowness > SLOW { 0.5 } else { 0.15 };
+        s.sample(slowness, if before > SLOW { 0.5 } else { 0.15 }, self.now);
         if outcome == Outcome::Ok {
             self.timings[class].observe(elapsed);
         }
--- a/crates/paddlefold/src/state.rs
+++ b/crates/paddlefold/src/state.rs
@@ -173,6 +173,11 @@
     }
 }
 
+/// What a server was like is forgotten in this time, in microseconds, ...
+const FORGOTTEN: f64 = 10e6;
+/// ... and what it is like now is told by the samples of this.
+const RECENT: f64 = 3e6;
+
 #[derive(Default)]
 pub(crate) struct Server {
     pub member: Member,
@@ -184,8 +189,10 @@
     pub lost: BTreeSet<(RequestId, usize)>,
     /// When the latest of those attempts was sent that it has answered at once.
     pub answered: Micros,
-    /// Response times in comparison with all caches, 1 being usual.
-    pub slowness: f64,
+    /// Response times in comparison with all caches, 1 being usual, as they were when it was last heard of, ...
+    slowness: f64,
+    /// ... and when that was.
+    sampled: Micros,
     pub heard: Option<Micros>,
     /// Attempts without an answer, in a row.
     pub silent: u32,
@@ -197,7 +204,8 @@
 
 impl Server {
     pub fn new(member: Member, now: Micros) -> Self {
-        Server { member, slowness: 1.0, retry_at: now, allowance: (0.0, now), ..Server::default() }
+        let allowance = (0.0, now);
+        Server { member, slowness: 1.0, sampled: now, retry_at: now, allowance, ..Server::default() }
     }
     /// Strikes off an attempt; tells from when it was a sign of trouble.
     pub fn close(&mut self, id: RequestId, attempt: usize) -> Option<Micros> {
@@ -210,6 +218,20 @@
         (self.cold_since, self.slowness, self.silent) = (cold_since, 1.0, 0);
         self.allowance = (saved, now);
     }
+    /// Response times in comparison with all caches. What was seen is worth less the longer ago it was.
+    pub fn slowness(&self, now: Micros) -> f64 {
+        1.0 + (self.slowness - 1.0) * (-((now - self.sampled) as f64) / FORGOTTEN).exp()
+    }
+    /// Learns from a sample, which counts for so much at least, and for more the less is known of late.
+    ///
+    /// Guards against: many nodes that each meet a server every few seconds, and would find out one by one, some
+    /// samples each, that it is slow or fails.
+    pub fn sample(&mut self, slowness: f64, least: f64, now: Micros) {
+        let news = 1.0 - (-((now - self.sampled) as f64) / RECENT).exp();
+        let before = self.slowness(now);
+        self.slowness = before + (slowness - before) * news.max(least);
+        self.sampled = now;
+    }
     /// The part of its capacity that it has for certain, by what the settings state.
     pub fn warmth(&self, settings: &Settings, now: Micros) -> f64 {
         let from = settings.cold_from.clamp(0.0, 1.0);
--- a/crates/paddlefold/tests/scale.rs
+++ b/crates/paddlefold/tests/scale.rs
@@ -33,6 +33,32 @@
     asked
 }
 
+/// Of how many reads of a key that all go to one cache first it takes until it is seldom asked first: it has
+/// become ten times slower, and is asked once in so long.
+fn samples_until_avoided(pause: Micros) -> usize {
+    let mut node = Node::new(settings(Mode::Through), 10);
+    node.warm_up();
+    let first = node.serve(1_000, "key", 50_000);
+    for n in 1..100 {
+        node.now += pause;
+        let to = sent(&node.read(1_000 + n, "key")).expect("a read is sent");
+        let slow = if to == first { 3 } else { 1 };
+        node.end(1_000 + n, 0, Outcome::Ok, slow * 50_000);
+        if to != first {
+            return n as usize - 1;
+        }
+    }
+    panic!("never");
+}
+
+#[test]
+fn a_cache_that_is_met_seldom_is_judged_by_fewer_samples() {
+    // Guards against: a hundred nodes that each meet a cache every few seconds, and each find out anew, some samples
+    // later, that it has become slow (join+vast).
+    assert_eq!(samples_until_avoided(3 * SECOND), 1);
+    assert!(samples_until_avoided(SECOND / 50) > 1, "one slow answer of many tells little");
+}
+
 /// The part of 600 keys that goes first to caches 1 to 5, of kind 1, which take `slow` times as long.
 fn share_of_slow_kind(slow: Micros) -> f64 {
     let mut node = Node::new(settings(Mode::Through), 0);
