--- a/crates/paddlefold/tests/scale.rs
+++ b/crates/paddlefold/tests/scale.rs
@@ -34,7 +34,7 @@
 }
 
 /// Of how many reads of a key that all go to one cache first it takes until it is seldom asked first: it has
-/// become ten times slower, and is asked once in so long.
+/// become three times slower, and is asked once in so long.
 fn samples_until_avoided(pause: Micros) -> usize {
     let mut node = Node::new(settings(Mode::Through), 10);
     node.warm_up();
