--- a/crates/control/src/client.rs
+++ b/crates/control/src/client.rs
@@ -51,14 +51,31 @@
         Ok(Client(BufReader::new(stream)))
     }
 
+    /// Asks for what goes on and on. A node that says nothing for `patience` is held to be stuck, if there is one.
+    ///
+    /// # Errors
+    /// If the question can't be sent.
+    pub fn stream(mut self, verb: Verb, patience: Option<Duration>) -> Result<Stream, ClientError> {
+        self.send(verb)?;
+        self.0.get_ref().set_read_timeout(patience).map_err(ClientError::Broken)?;
+        Ok(Stream(self))
+    }
+
     /// Asks one question.
     ///
     /// # Errors
     /// If no answer comes, or none that can be read.
     pub fn ask(&mut self, verb: Verb) -> Result<Answer, ClientError> {
+        self.send(verb)?;
+        self.answer()
+    }
+
+    fn send(&mut self, verb: Verb) -> Result<(), ClientError> {
         let question = serde_json::to_string(&Question { v: VERSION, verb }).unwrap_or_default();
-        let written = self.0.get_mut().write_all(format!("{question}\n").as_bytes());
-        written.map_err(ClientError::Broken)?;
+        self.0.get_mut().write_all(format!("{question}\n").as_bytes()).map_err(ClientError::Broken)
+    }
+
+    fn answer(&mut self) -> Result<Answer, ClientError> {
         let mut line = String::new();
         match self.0.read_line(&mut line).map_err(ClientError::Broken)? {
             0 => Err(ClientError::Broken(io::ErrorKind::UnexpectedEof.into())),
@@ -70,3 +87,16 @@
         }
     }
 }
+
+/// Answers that go on; see [`Client::stream`].
+pub struct Stream(Client);
+
+impl Stream {
+    /// Waits for the next.
+    ///
+    /// # Errors
+    /// If none comes, or none that can be read.
+    pub fn next_answer(&mut self) -> Result<Answer, ClientError> {
+        self.0.answer()
+    }
+}
--- a/crates/control/src/folder.rs
+++ b/crates/control/src/folder.rs
@@ -7,6 +7,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use flate2::Compression;
+use flate2::write::GzEncoder;
 use lilacquay_steer::Kept;
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +16,8 @@
 
 /// An audit file of this size makes room for a new one; one old one is kept.
 const AUDIT: u64 = 1 << 20;
+/// So many diagnosis bundles are kept.
+const BUNDLES: usize = 5;
 
 /// A folder that lasts, of one node alone.
 #[derive(Debug, Clone)]
@@ -118,6 +122,33 @@
         File::open(&self.0)?.sync_all() // the name, too, survives a crash
     }
 
+    /// Writes a bundle for whoever looks for a fault; tells its path. The oldest of more than five are removed.
+    ///
+    /// # Errors
+    /// If it can't be written; nothing half written is left.
+    pub fn bundle(&self, contents: &serde_json::Value) -> io::Result<PathBuf> {
+        let folder = self.0.join("diagnosis");
+        fs::create_dir_all(&folder)?;
+        let file = tempfile::NamedTempFile::new_in(&folder)?;
+        let mut packed = GzEncoder::new(&file, Compression::default());
+        serde_json::to_writer_pretty(&mut packed, contents)?;
+        packed.finish()?;
+        let path = folder.join(format!("{}.json.gz", unix_ms()));
+        file.persist(&path)?;
+        let is_bundle = |path: &PathBuf| path.to_string_lossy().ends_with(".json.gz");
+        let mut bundles: Vec<PathBuf> = fs::read_dir(&folder)?.flatten().map(|entry| entry.path()).collect();
+        bundles.retain(is_bundle);
+        bundles.sort();
+        let old = bundles.len().saturating_sub(BUNDLES);
+        bundles.iter().take(old).try_for_each(fs::remove_file)?;
+        Ok(path)
+    }
+
+    /// Whether the socket is still in its place: somebody may have cleared the folder.
+    pub fn has_socket(&self) -> bool {
+        fs::metadata(self.socket()).is_ok()
+    }
+
     /// Records an order with its time and outcome.
     ///
     /// # Errors
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,11 +2,15 @@
 //! holds. `docs/control.md` has the words.
 
 mod client;
+mod event_log;
 mod folder;
+mod process;
+mod publisher;
 mod server;
 mod words;
 
-pub use client::{Client, ClientError};
+pub use client::{Client, ClientError, Stream};
+pub use event_log::EventLog;
 pub use folder::Folder;
-pub use server::Control;
+pub use server::{Command, Control, Host, Outcome};
 pub use words::{Answer, Question, Server, Standing, Verb, Version};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,25 +1,65 @@
-//! The node's side: questions come in, orders go to the core.
+//! The node's side: questions come in, orders go to the core and to the node.
 
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use lilacquay_core::{Holding, Orders, log};
-use lilacquay_steer::{Done, Kept, Refusal};
+use lilacquay_core::{Holding, Orders};
+use lilacquay_steer::{Done, Kept};
+use serde_json::{Value, json};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{Mutex, Semaphore};
+use tokio::sync::{Mutex, Semaphore, mpsc, oneshot};
 use tokio::task::spawn_blocking;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::codec::{Framed, LinesCodec};
+use tracing::{info, warn};
 
+use crate::event_log::EventLog;
 use crate::folder::Folder;
+use crate::publisher::Publisher;
 use crate::words::{Answer, LONGEST, Question, Server, Standing, VERSION, Verb};
 
 /// Who speaks at once; others wait until one is done.
-const MOST: usize = 16;
-/// Who neither asks nor reads for so long is hung up on.
+const MOST: usize = 48;
+/// Who watches or follows at once: the others' places stay free for questions.
+const STREAMS: usize = 32;
+/// Who neither asks nor reads for so long is hung up on; one who watches, and may have stopped, after longer.
 const IDLE: Duration = Duration::from_secs(60);
+const STOPPED: Duration = Duration::from_secs(600);
+/// The quickest pace of snapshots.
+const QUICKEST: Duration = Duration::from_millis(200);
+/// Events in one line.
+const AT_ONCE: usize = 100;
+/// How often the socket's place is looked at.
+const LOOK: Duration = Duration::from_secs(5);
+
+/// What an order on the node itself came to: what was done, or why not.
+pub type Outcome = Result<String, String>;
+
+/// An order on the node itself.
+#[derive(Debug)]
+pub enum Command {
+    /// To read the configuration again.
+    Reload(oneshot::Sender<Outcome>),
+    /// To log from this level on.
+    Level(String, oneshot::Sender<Outcome>),
+    /// To answer what was taken, and end.
+    Stop(oneshot::Sender<Outcome>),
+}
+
+/// What a node gives its control socket beside the core.
+#[derive(Clone)]
+pub struct Host {
+    /// What has happened there.
+    pub events: EventLog,
+    /// Who carries out orders on the node itself.
+    pub commands: mpsc::Sender<Command>,
+    /// Its configuration, without secrets, for diagnosis bundles.
+    pub described: Value,
+    /// Descriptors that it may hold.
+    pub descriptor_limit: usize,
+}
 
 /// A node's control socket.
 pub struct Control {
@@ -30,7 +70,10 @@
 struct Inner {
     folder: Folder,
     orders: Orders,
+    host: Host,
+    publisher: Publisher,
     places: Arc<Semaphore>,
+    streams: Semaphore,
     /// Held from the look at what holds until it is written. Guards against: an older state written over a newer one.
     recording: Mutex<()>,
 }
@@ -40,19 +83,27 @@
     ///
     /// # Errors
     /// If another node listens there, or the socket can't be made.
-    pub fn listen(folder: Folder, orders: Orders) -> io::Result<Control> {
-        folder.clear()?;
-        let listener = UnixListener::bind(folder.socket())?;
-        folder.guard()?;
+    pub fn listen(folder: Folder, orders: Orders, host: Host) -> io::Result<Control> {
+        let listener = bind(&folder)?;
         let (places, recording) = (Arc::new(Semaphore::new(MOST)), Mutex::default());
-        Ok(Control { listener, inner: Arc::new(Inner { folder, orders, places, recording }) })
+        let publisher = Publisher::new(orders.clone(), host.descriptor_limit);
+        let streams = Semaphore::new(STREAMS);
+        let inner = Inner { folder, orders, host, publisher, places, streams, recording };
+        Ok(Control { listener, inner: Arc::new(inner) })
     }
 
-    /// Serves until it is dropped. Costs nothing while nobody asks.
-    pub async fn run(self) {
+    /// Serves until it is dropped. Costs nothing while nobody asks, but for a look at the socket's place.
+    pub async fn run(mut self) {
         loop {
             let Ok(place) = self.inner.places.clone().acquire_owned().await else { return };
-            match self.listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = sleep(LOOK) => {
+                    self.mend();
+                    continue;
+                }
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let inner = self.inner.clone();
                     tokio::spawn(async move {
@@ -61,56 +112,183 @@
                     });
                 }
                 Err(error) => {
-                    log(format_args!("control: {error}"));
-                    tokio::time::sleep(Duration::from_millis(100)).await; // descriptors may be free again by then
+                    warn!("control: {error}");
+                    sleep(Duration::from_millis(100)).await; // descriptors may be free again by then
                 }
             }
         }
     }
+
+    /// Listens anew where somebody has cleared the folder.
+    fn mend(&mut self) {
+        if self.inner.folder.has_socket() {
+            return;
+        }
+        match bind(&self.inner.folder) {
+            Ok(listener) => {
+                self.listener = listener;
+                warn!("control: the socket had gone from the state folder; it is made anew");
+            }
+            Err(error) => {
+                warn!("control: the socket has gone from the state folder: {error}; tried again in 5 s")
+            }
+        }
+    }
 }
 
+fn bind(folder: &Folder) -> io::Result<UnixListener> {
+    folder.clear()?;
+    let listener = UnixListener::bind(folder.socket())?;
+    folder.guard()?;
+    Ok(listener)
+}
+
+type Lines = Framed<UnixStream, LinesCodec>;
+
 impl Inner {
     async fn attend(&self, stream: UnixStream) {
         let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(LONGEST));
         while let Ok(Some(line)) = timeout(IDLE, lines.next()).await {
-            let answer = match line {
-                Ok(line) => self.answer(&line).await,
-                Err(error) => Answer::Error { v: VERSION, what: format!("no line: {error}") },
+            let answer = match line
+                .map_err(|error| wrong(format!("no line: {error}")))
+                .and_then(|l| question(&l))
+            {
+                Ok(Verb::Watch { every_ms, after }) => {
+                    return self.watched(&mut lines, Duration::from_millis(every_ms), after).await;
+                }
+                Ok(Verb::Events { after, follow: true }) => return self.followed(&mut lines, after).await,
+                Ok(verb) => self.answer(verb).await,
+                Err(answer) => answer,
             };
             let last = matches!(answer, Answer::Error { .. });
-            let text = serde_json::to_string(&answer).unwrap_or_default();
-            if !matches!(timeout(IDLE, lines.send(text)).await, Ok(Ok(()))) || last {
+            if !send(&mut lines, text(&answer), IDLE).await || last {
                 return;
             }
         }
     }
 
-    async fn answer(&self, line: &str) -> Answer {
-        let wrong = |what: String| Answer::Error { v: VERSION, what };
-        let version =
-            serde_json::from_str::<serde_json::Value>(line).ok().and_then(|asked| asked["v"].as_u64());
-        match version {
-            Some(v) if v == u64::from(VERSION) => {}
-            Some(v) => {
-                return wrong(format!("this node speaks version {VERSION}, not {v}; use its own program"));
+    /// Sends snapshots at the reader's own pace: the next is made only when the last has been taken.
+    async fn watched(&self, lines: &mut Lines, every: Duration, mut after: u64) {
+        let Ok(_place) = self.streams.try_acquire() else {
+            let most = wrong(format!("{STREAMS} look already; close a console first"));
+            send(lines, text(&most), IDLE).await;
+            return;
+        };
+        let _watching = self.orders.watch();
+        let every = every.max(QUICKEST);
+        loop {
+            let next = Instant::now() + every;
+            let Some(snapshot) = self.publisher.line().await else { return };
+            if !send(lines, &*snapshot, STOPPED).await || !self.news(lines, &mut after).await {
+                return;
+            }
+            tokio::select! {
+                () = sleep_until(next) => {}
+                _ = lines.next() => return, // it has left, or asks what it can't here
+            }
+        }
+    }
+
+    /// Sends the events behind one, if there are any; false if nobody takes them.
+    async fn news(&self, lines: &mut Lines, after: &mut u64) -> bool {
+        loop {
+            let told = self.host.events.after(*after, AT_ONCE);
+            let Some(last) = told.events.last().map(|event| event.number) else { return true };
+            *after = last;
+            if !send(lines, text(&Answer::Events { told }), STOPPED).await {
+                return false;
             }
-            None => return wrong("no question; write a line of JSON with \"v\" and \"ask\"".into()),
         }
-        let verb = match serde_json::from_str::<Question>(line) {
-            Ok(question) => question.verb,
-            Err(error) => return wrong(format!("no question: {error}")),
+    }
+
+    async fn followed(&self, lines: &mut Lines, mut after: u64) {
+        let Ok(_place) = self.streams.try_acquire() else {
+            let most = wrong(format!("{STREAMS} look already; close a console first"));
+            send(lines, text(&most), IDLE).await;
+            return;
         };
-        match verb.order() {
-            None if verb == Verb::Servers => match self.orders.servers().await {
+        let mut changes = self.host.events.changes();
+        loop {
+            changes.borrow_and_update();
+            if !self.news(lines, &mut after).await {
+                return;
+            }
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { return },
+                _ = lines.next() => return,
+            }
+        }
+    }
+
+    async fn answer(&self, verb: Verb) -> Answer {
+        if let Some(ask) = verb.order() {
+            return match self.orders.steer(ask).await {
+                Ok(Ok(done)) => self.obeyed(verb, &done).await,
+                Ok(Err(refusal)) => self.refused(verb, &refusal.to_string()).await,
+                Err(_) => ended(),
+            };
+        }
+        match &verb {
+            Verb::Servers => match self.orders.servers().await {
                 Ok(servers) => Answer::Servers { servers: servers.into_iter().map(Server::new).collect() },
                 Err(_) => ended(),
             },
-            None => self.holding().await,
-            Some(ask) => match self.orders.steer(ask).await {
-                Ok(Ok(done)) => self.obeyed(verb, &done).await,
-                Ok(Err(refusal)) => self.refused(verb, &refusal).await,
-                Err(_) => ended(),
+            Verb::Look => match self.publisher.snapshot().await {
+                Some(snapshot) => Answer::Snapshot { snapshot: Box::new(snapshot) },
+                None => ended(),
             },
+            Verb::Events { after, .. } => Answer::Events { told: self.host.events.after(*after, usize::MAX) },
+            Verb::Reload => self.command(verb, Command::Reload).await,
+            Verb::Level { level } => {
+                let level = level.clone();
+                self.command(verb, |answer| Command::Level(level, answer)).await
+            }
+            Verb::Stop => self.command(verb, Command::Stop).await,
+            Verb::Diagnose => {
+                let outcome = self.bundle().await;
+                self.done(verb, outcome).await
+            }
+            Verb::Orders | Verb::Watch { .. } | Verb::Drain { .. } | Verb::Undrain { .. } => {
+                self.holding().await
+            }
+        }
+    }
+
+    /// Has the node carry out an order on itself.
+    async fn command(&self, verb: Verb, command: impl FnOnce(oneshot::Sender<Outcome>) -> Command) -> Answer {
+        let (answer, told) = oneshot::channel();
+        if self.host.commands.send(command(answer)).await.is_err() {
+            return ended();
+        }
+        match told.await {
+            Ok(outcome) => self.done(verb, outcome).await,
+            Err(_) => ended(),
+        }
+    }
+
+    async fn done(&self, verb: Verb, outcome: Outcome) -> Answer {
+        match outcome {
+            Ok(what) => {
+                let unrecorded = self.record(verb, what.clone(), None).await.err();
+                Answer::Done { what, unrecorded: unrecorded.map(|error| error.to_string()) }
+            }
+            Err(why) => self.refused(verb, &why).await,
+        }
+    }
+
+    /// Writes a diagnosis bundle: configuration without secrets, figures, orders, the last events.
+    async fn bundle(&self) -> Outcome {
+        let ending = || "the node is ending".to_owned();
+        let snapshot = self.publisher.snapshot().await.ok_or_else(ending)?;
+        let orders = self.holding().await;
+        let events = self.host.events.after(0, usize::MAX);
+        let contents = json!({ "configuration": self.host.described, "snapshot": snapshot, "orders": orders, "events": events });
+        let folder = self.folder.clone();
+        let written =
+            spawn_blocking(move || folder.bundle(&contents)).await.map_err(|error| error.to_string())?;
+        match written {
+            Ok(path) => Ok(format!("written to {}", path.display())),
+            Err(error) => Err(format!("no bundle could be written: {error}; make room in the state folder")),
         }
     }
 
@@ -124,12 +302,11 @@
         Answer::Obeyed { number: done.number, replaced, unrecorded }
     }
 
-    async fn refused(&self, verb: Verb, refusal: &Refusal) -> Answer {
-        let why = refusal.to_string();
+    async fn refused(&self, verb: Verb, why: &str) -> Answer {
         if let Err(error) = self.record(verb, format!("refused: {why}"), None).await {
-            log(format_args!("control: a refused order is not recorded: {error}"));
+            warn!("control: a refused order is not recorded: {error}");
         }
-        Answer::Refused { why }
+        Answer::Refused { why: why.to_owned() }
     }
 
     async fn holding(&self) -> Answer {
@@ -140,6 +317,8 @@
 
     /// Records an order, and keeps those that last. A disk that is full or slow holds up nobody else.
     async fn record(&self, verb: Verb, outcome: String, kept: Option<Vec<Kept>>) -> io::Result<()> {
+        let asked = serde_json::to_string(&verb).unwrap_or_default();
+        info!(order = asked, "{outcome}");
         let folder = self.folder.clone();
         let write = move || {
             let kept = kept.map_or(Ok(()), |kept| folder.keep(kept));
@@ -149,13 +328,41 @@
     }
 }
 
+/// Sends a line; false if nobody takes it in time.
+async fn send(lines: &mut Lines, text: impl AsRef<str> + Send, within: Duration) -> bool {
+    matches!(timeout(within, lines.send(text)).await, Ok(Ok(())))
+}
+
+fn text(answer: &Answer) -> String {
+    serde_json::to_string(answer).unwrap_or_default()
+}
+
+/// Reads a question, or tells what is wrong with it.
+fn question(line: &str) -> Result<Verb, Answer> {
+    let version = serde_json::from_str::<Value>(line).ok().and_then(|asked| asked["v"].as_u64());
+    match version {
+        Some(v) if (1..=u64::from(VERSION)).contains(&v) => {}
+        Some(v) => {
+            return Err(wrong(format!("this node speaks version {VERSION}, not {v}; use its own program")));
+        }
+        None => return Err(wrong("no question; write a line of JSON with \"v\" and \"ask\"".into())),
+    }
+    serde_json::from_str::<Question>(line)
+        .map(|question| question.verb)
+        .map_err(|error| wrong(format!("no question: {error}")))
+}
+
 fn server(verb: &Verb) -> &str {
     match verb {
-        Verb::Orders | Verb::Servers => "",
         Verb::Drain { server, .. } | Verb::Undrain { server, .. } => server,
+        _ => "",
     }
 }
 
+fn wrong(what: String) -> Answer {
+    Answer::Error { v: VERSION, what }
+}
+
 fn ended() -> Answer {
-    Answer::Error { v: VERSION, what: "the node is ending".into() }
+    wrong("the node is ending".into())
 }
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -1,11 +1,12 @@
 //! What is said over the control socket: a question and its answer are a line of JSON each.
 
 use lilacquay_core::{ServerNow, State};
+use lilacquay_observe::{Snapshot, Told};
 use lilacquay_steer::{Ask, Held, Hold, Micros, Order};
 use serde::{Deserialize, Serialize};
 
-/// The version of these words. A node answers questions of its own version alone.
-pub const VERSION: Version = 1;
+/// The version of these words. A node answers questions of this version and of all before it, in words that those know.
+pub const VERSION: Version = 2;
 /// The longest line.
 pub const LONGEST: usize = 4096;
 
@@ -30,6 +31,36 @@
     Orders,
     /// The servers of the list and what is out at each.
     Servers,
+    /// The node at this moment. From version 2, as all below that have no server.
+    Look,
+    /// The node again and again, at the asker's own pace, and its events. The connection takes no other question then.
+    Watch {
+        /// How often, in milliseconds; 200 at least.
+        every_ms: u64,
+        /// The last event that was seen, 0 for none.
+        #[serde(default)]
+        after: u64,
+    },
+    /// Events behind one that was seen.
+    Events {
+        /// The last that was seen, 0 for none.
+        #[serde(default)]
+        after: u64,
+        /// Whether to go on with those to come. The connection takes no other question then.
+        #[serde(default)]
+        follow: bool,
+    },
+    /// To read the configuration again, as by SIGHUP.
+    Reload,
+    /// To log more or less.
+    Level {
+        /// `error`, `warn`, `info`, `debug` or `trace`.
+        level: String,
+    },
+    /// To drain the node itself, as by SIGTERM: it answers all that it has taken, and ends.
+    Stop,
+    /// To write a bundle for whoever looks for a fault.
+    Diagnose,
     /// To take a server out of service.
     Drain {
         /// Its name.
@@ -71,6 +102,24 @@
         /// By name.
         servers: Vec<Server>,
     },
+    /// The node at a moment.
+    Snapshot {
+        /// What it told.
+        snapshot: Box<Snapshot>,
+    },
+    /// Events, in order.
+    Events {
+        /// Which, and how many are missing before them.
+        #[serde(flatten)]
+        told: Told,
+    },
+    /// An order on the node itself is obeyed.
+    Done {
+        /// What was done.
+        what: String,
+        /// What could not be recorded of it, and why.
+        unrecorded: Option<String>,
+    },
     /// The order is obeyed.
     Obeyed {
         /// Its number.
@@ -150,10 +199,11 @@
 }
 
 impl Verb {
-    /// The order that it gives, if it is one.
+    /// The order on a server that it gives, if it is one.
     pub fn order(&self) -> Option<Ask> {
         match self.clone() {
-            Verb::Orders | Verb::Servers => None,
+            Verb::Orders | Verb::Servers | Verb::Look | Verb::Watch { .. } | Verb::Events { .. } => None,
+            Verb::Reload | Verb::Level { .. } | Verb::Stop | Verb::Diagnose => None,
             Verb::Drain { server, seconds, lasting, force, seen } => {
                 let time = |seconds: u64| Order::LeaveOut(seconds.saturating_mul(1_000_000));
                 Some(Ask { server, order: seconds.map_or(Order::Drain, time), lasting, force, seen })
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -2,11 +2,15 @@
 
 use std::collections::HashMap;
 
-use lilacquay_quota::{Ask, Done, Quota, Ticket};
+use lilacquay_observe::ShareNow;
+use lilacquay_quota::{Ask, Dimension, Done, Quota, Ticket};
 use paddlefold::{Micros, Settings};
 
 use crate::call::Call;
 
+/// Shares beyond these are not told: what is asked while requests wait must stay short.
+const MOST_SHARES: usize = 200;
+
 /// What quotas there are, and how calls are counted in them.
 pub struct Admission {
     quota: Quota,
@@ -56,8 +60,47 @@
         self.quota.ask(now, ask).map(Some).map_err(|over| over.retry_after)
     }
 
+    /// The shares at a time, for operators.
+    pub(crate) fn shares(&mut self, now: Micros) -> Vec<ShareNow> {
+        share_words(&mut self.quota, now)
+    }
+
     /// A call that was admitted has ended. One that was refused untried is not paid.
     pub(crate) fn done(&mut self, now: Micros, ticket: Ticket, tried: bool) {
         self.quota.done(now, ticket, if tried { Done::Paid } else { Done::Unpaid });
     }
 }
+
+/// The shares of quotas, as operators read them.
+fn share_words(quota: &mut Quota, now: Micros) -> Vec<ShareNow> {
+    let plan = quota.plan().clone();
+    let mut told = Vec::new();
+    for (share, lines) in plan.shares.iter().enumerate().take(MOST_SHARES) {
+        let depth = std::iter::successors(lines.parent, |&parent| plan.shares[parent].parent).count();
+        for (m, measure) in plan.measures.iter().enumerate() {
+            let bounds = plan.bounds(share, m);
+            let of = match measure.dimension {
+                Dimension::Requests => "requests",
+                Dimension::Worth => "worth/1000",
+                Dimension::Bytes => "bytes",
+                Dimension::InFlight => "in flight",
+            };
+            let window = measure.window as f64 / 1e6;
+            let measured = match measure.dimension {
+                Dimension::InFlight => format!("{of}, lane {}", measure.lane),
+                _ => format!("{of} in {window} s, lane {}", measure.lane),
+            };
+            told.push(ShareNow {
+                name: lines.name.clone(),
+                depth,
+                measure: measured,
+                guarantee: bounds.guarantee,
+                ceiling: Some(bounds.ceiling).filter(|&ceiling| ceiling < u64::MAX),
+                used: quota.used(now, share, m),
+                debt: quota.debt(now, share, m),
+                refused: quota.refused(share),
+            });
+        }
+    }
+    told
+}
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -30,8 +30,18 @@
     idle: Vec<(Instant, C)>,
 }
 
+/// What has become of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum News {
+    Serves,
+    Drains,
+    Gone,
+}
+
 /// The servers by id.
 pub(crate) struct Directory<C> {
+    /// What lists have changed and was not yet taken.
+    news: Vec<(String, News)>,
     servers: HashMap<ServerId, Server<C>>,
     /// An idle connection is closed at this age: before the server does it ...
     idle_limit: Duration,
@@ -48,7 +58,8 @@
     pub fn new(keepalive: Duration, nodes: usize) -> Self {
         let idle_limit = keepalive * 9 / 10;
         let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
-        Directory { servers: HashMap::new(), idle_limit, spare_limit: idle_limit / nodes }
+        let (news, servers) = Default::default();
+        Directory { news, servers, idle_limit, spare_limit: idle_limit / nodes }
     }
 
     /// Takes over a list; tells the module's view of its entries. Servers of which kinds of machine discard the
@@ -64,13 +75,21 @@
         if list.full {
             let names = &list.servers;
             let listed = |name: &String| names.binary_search_by(|e| e.id.cmp(name)).is_ok();
-            self.servers.retain(|_, server| listed(&server.name) || server.close());
+            let news = &mut self.news;
+            self.servers.retain(|_, server| {
+                let stays = listed(&server.name);
+                if !stays {
+                    news.push((server.name.clone(), News::Gone));
+                }
+                stays || server.close()
+            });
         }
         list.servers.into_iter().map(|entry| self.enter(entry, setup, &discards)).collect()
     }
 
     fn enter(&mut self, entry: Entry, setup: &mut Setup, discards: impl Fn(&str) -> bool) -> Member {
         let id = self.id_of(&entry.id);
+        self.note(id, &entry);
         let origin = setup.is_origin(&entry.kind);
         let state = match entry.state {
             State::Serving => MemberState::Up,
@@ -111,6 +130,23 @@
         }
     }
 
+    /// Notes what an entry changes.
+    fn note(&mut self, id: ServerId, entry: &Entry) {
+        let before = self.servers.get(&id).map(|server| server.standing.serving());
+        let news = match (entry.state, before) {
+            (State::Serving, None | Some(false)) => News::Serves,
+            (State::Draining, None | Some(true)) => News::Drains,
+            (State::Deleted, Some(_)) => News::Gone,
+            _ => return,
+        };
+        self.news.push((entry.id.clone(), news));
+    }
+
+    /// What lists have changed since this was asked last.
+    pub fn take_news(&mut self) -> Vec<(String, News)> {
+        std::mem::take(&mut self.news)
+    }
+
     /// The id of a name, which is the same at every node: a hash, and the next one where two names share it.
     fn id_of(&self, name: &str) -> ServerId {
         let ids = (0..).map(|seed| ServerId(xxh3_64_with_seed(name.as_bytes(), seed) as u32));
@@ -165,6 +201,11 @@
         self.servers.iter().map(|one| (one.1.name.as_str(), entry(one))).collect()
     }
 
+    /// The names of all servers.
+    pub fn names(&self) -> HashMap<ServerId, &str> {
+        self.servers.iter().map(|(id, server)| (*id, server.name.as_str())).collect()
+    }
+
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
         self.servers.values().map(|server| server.idle.len()).sum()
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -1,11 +1,14 @@
 //! The one task that owns the module, the open requests and the timers.
 
+mod look;
+
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use lilacquay_observe::{Kind, Snapshot};
 use lilacquay_quota::Ticket;
 use lilacquay_steer::{Ask, Done, Kept, Refusal};
 use paddlefold::setup::Setup;
@@ -17,16 +20,18 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
+use tracing::info;
 
 use crate::admission::Admission;
 use crate::attempt;
 use crate::call::{Answer, Call};
 use crate::clock::Clock;
-use crate::directory::Directory;
+use crate::directory::{Directory, News};
 use crate::members::{List, Members};
 use crate::requests::Requests;
 use crate::steering::{Holding, ServerNow, Steering};
 use crate::upstream::{Reply, Target, Upstream};
+use look::{Watched, kind};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
 const ON_THE_WAY: Micros = 5_000;
@@ -34,6 +39,8 @@
 const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
+/// Servers whose news is logged one by one; of more, the count.
+const NAMED: usize = 12;
 
 /// What the driver is told from outside.
 ///
@@ -42,12 +49,14 @@
 pub(crate) enum Message {
     Arrived(Arrival),
     Gone(RequestId),
-    List(List),
+    List(List, &'static str),
     ListFailed,
     Quotas(Box<Admission>),
     Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
     Holding(oneshot::Sender<Holding>),
     Servers(oneshot::Sender<Vec<ServerNow>>),
+    Watch(bool),
+    Look(oneshot::Sender<Snapshot>),
 }
 
 /// A client's request.
@@ -165,6 +174,19 @@
         told
     }
 
+    /// The node at this moment. A core that has ended answers nothing.
+    pub fn look(&self) -> oneshot::Receiver<Snapshot> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Look(answer)); // its end shows at the receiver
+        told
+    }
+
+    /// Has figures gathered until this is dropped.
+    pub fn watch(&self) -> Watching {
+        let _ = self.0.send(Message::Watch(true)); // nobody is watched once the core has ended
+        Watching(self.0.clone())
+    }
+
     /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
     pub fn holding(&self) -> oneshot::Receiver<Holding> {
         let (answer, told) = oneshot::channel();
@@ -173,6 +195,15 @@
     }
 }
 
+/// Somebody who watches; see [`Orders::watch`].
+pub struct Watching(UnboundedSender<Message>);
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        let _ = self.0.send(Message::Watch(false)); // nobody is watched once the core has ended
+    }
+}
+
 /// Carries out what the module decides, and tells it what happens.
 pub struct Driver<U: Upstream> {
     balancer: Balancer,
@@ -181,6 +212,7 @@
     upstream: U,
     quotas: Option<Admission>,
     steering: Option<Steering>,
+    watched: Watched,
     directory: Directory<U::Connection>,
     open: HashMap<RequestId, Open>,
     /// Attempts under way: each holds a connection, or is making one.
@@ -205,12 +237,14 @@
         let (to_self, attempts) = unbounded_channel();
         let subscribe = Arc::new(Notify::new());
         let asked = settings.must_subscribe.then(|| subscribe.clone());
+        let watched = Watched::new(clock, &options.setup.names);
         let mut driver = Driver {
             directory: Directory::new(Duration::from_micros(settings.keepalive), settings.nodes),
             balancer: Balancer::new(settings, options.seed, clock.now()),
             setup: options.setup,
             quotas: options.quotas,
             steering: options.steered.map(|kept| Steering::new(clock.now(), kept)),
+            watched,
             clock,
             upstream,
             open: HashMap::new(),
@@ -227,9 +261,10 @@
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.list(List { full: true, ..options.known });
+        driver.directory.take_news(); // what is known from the start is none
         driver.decide();
         let (requests, orders) = (Requests::new(to.clone(), options.memory), Orders(to.clone()));
-        (driver, Handles { requests, members: Members { to, asked }, orders })
+        (driver, Handles { requests, members: Members { to, source: "configuration", asked }, orders })
     }
 
     /// What it holds, kept up to date.
@@ -249,6 +284,7 @@
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
             }
             self.decide();
+            log_news(&self.directory.take_news());
             self.gauges.open.store(self.open.len(), Ordering::Relaxed);
         }
     }
@@ -257,7 +293,12 @@
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Gone(id) => self.gone(id),
-            Message::List(list) => self.list(list),
+            Message::List(list, source) => {
+                self.watched.list_told(source);
+                self.list(list);
+            }
+            Message::Watch(more) => self.watched.watch(more),
+            Message::Look(answer) => drop(answer.send(self.look())), // who asked may have left
             Message::Quotas(new) => {
                 if let Some(quotas) = &mut self.quotas {
                     quotas.reload(*new, self.clock.now());
@@ -281,6 +322,7 @@
                 }
             }
             Message::ListFailed => {
+                self.watched.list_failed();
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
             }
         }
@@ -368,6 +410,7 @@
                 Ok(ticket) => ticket,
                 // Over its share: at once, as what the module refuses.
                 Err(wait) => {
+                    self.watched.over_share(call.tenant);
                     let wait = wait.min(self.setup.settings.max_retry_after);
                     return drop(answer.send(Answer::Busy(wait))); // the client may have left
                 }
@@ -384,6 +427,9 @@
             write: call.is_write(),
             keyed: !call.is_write() || call.idempotency.is_some(),
         };
+        let effect =
+            call.class.and_then(|class| self.setup.settings.classes.get(class)).map(|class| class.effect);
+        self.watched.arrived(&request, call.wait(), effect);
         let open = Open { call, ticket, answer: Some(answer), attempts: Vec::new() };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
@@ -391,7 +437,9 @@
 
     fn gone(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
-            open.answer = None;
+            if open.answer.take().is_some() {
+                self.watched.answered(id, Kind::Gone, || &open.call.key);
+            }
             self.events.push_back(Event::ClientGone(id));
             self.close_if_done(id);
         }
@@ -399,7 +447,10 @@
 
     /// The final answer; a second one goes nowhere.
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+        if let Some(open) = self.open.get_mut(&id)
+            && let Some(sender) = open.answer.take()
+        {
+            self.watched.answered(id, kind(&answer), || &open.call.key);
             let _ = sender.send(answer); // the client may have left
         }
         self.close_if_done(id);
@@ -407,8 +458,11 @@
 
     fn close_if_done(&mut self, id: RequestId) {
         let done = |open: &Open| open.answer.is_none() && open.attempts.iter().all(Option::is_none);
-        if self.open.get(&id).is_some_and(done)
-            && let Some(Open { ticket: Some(ticket), attempts, .. }) = self.open.remove(&id)
+        if !self.open.get(&id).is_some_and(done) {
+            return;
+        }
+        self.watched.closed(id);
+        if let Some(Open { ticket: Some(ticket), attempts, .. }) = self.open.remove(&id)
             && let Some(quotas) = &mut self.quotas
         {
             quotas.done(self.clock.now(), ticket, !attempts.is_empty());
@@ -431,12 +485,14 @@
         });
         let Some((target, pooled)) = place else {
             open.attempts.push(None);
+            self.watched.ended(id, server, Outcome::Ignored, Duration::ZERO);
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
         let timer = self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER));
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
         open.attempts.push(Some(Running { server, sent: now, task, timer }));
+        self.watched.sent(id, server);
         self.running += 1;
     }
 
@@ -474,7 +530,9 @@
         if outcome != Outcome::TimedOut {
             self.timers.try_remove(&running.timer);
         }
-        self.tell_end(id, attempt, outcome, running.sent.elapsed(), None);
+        let elapsed = running.sent.elapsed();
+        self.watched.ended(id, running.server, outcome, elapsed);
+        self.tell_end(id, attempt, outcome, elapsed, None);
     }
 
     fn ended(&mut self, ended: Ended<U::Connection>) {
@@ -485,12 +543,16 @@
         }
         let Some(running) = running else { return }; // given up before: a late outcome changes nothing
         self.timers.try_remove(&running.timer);
+        let elapsed = running.sent.elapsed();
+        self.watched.ended(id, running.server, reply.outcome, elapsed);
         if reply.outcome == Outcome::Ok
-            && let Some(sender) = self.open.get_mut(&id).and_then(|open| open.answer.take())
+            && let Some(open) = self.open.get_mut(&id)
+            && let Some(sender) = open.answer.take()
         {
+            self.watched.answered(id, Kind::Served, || &open.call.key);
             let _ = sender.send(Answer::Served(reply.made)); // the client may have left
         }
-        self.tell_end(id, attempt, reply.outcome, running.sent.elapsed(), reply.hit);
+        self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
     }
 
     fn tell_end(
@@ -508,3 +570,19 @@
         self.close_if_done(id);
     }
 }
+
+/// What a list has changed.
+fn log_news(news: &[(String, News)]) {
+    if news.len() > NAMED {
+        let count = |of: News| news.iter().filter(|(_, news)| *news == of).count();
+        let (serve, drain, gone) = (count(News::Serves), count(News::Drains), count(News::Gone));
+        return info!(serve, drain, gone, "the list has changed");
+    }
+    for (server, news) in news {
+        match news {
+            News::Serves => info!(server, "serves"),
+            News::Drains => info!(server, "drains: nothing new is sent there"),
+            News::Gone => info!(server, "has left the list"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/driver/look.rs
@@ -0,0 +1,256 @@
+//! What the driver tells of itself, for whoever watches.
+
+use std::collections::HashMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use lilacquay_observe::{
+    BoxNow, End, Kind, List as ListNow, Observer, OrderNow, Repeats, Request as Seen, Snapshot, Waits,
+};
+use lilacquay_steer::Hold;
+use paddlefold::setup::Names;
+use paddlefold::{Effect, Micros, Outcome, Request, RequestId, ServerId, Waiting};
+use tokio::time::Instant;
+
+use super::Driver;
+use crate::call::Answer;
+use crate::clock::Clock;
+use crate::members::State;
+use crate::steering::ServerNow;
+use crate::upstream::Upstream;
+
+/// What the driver notes for those who watch. Without any, a request costs a look at whether there is an observer.
+pub(super) struct Watched {
+    /// Asked only if there is an observer.
+    clock: Clock,
+    observer: Option<Observer>,
+    watchers: usize,
+    started_ms: u64,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    source: &'static str,
+    told: Micros,
+    failures: u64,
+}
+
+impl Watched {
+    pub fn new(clock: Clock, names: &Names) -> Self {
+        let now = clock.now();
+        Watched {
+            clock,
+            observer: None,
+            watchers: 0,
+            started_ms: now / 1000,
+            classes: names.all_classes(),
+            tenants: names.all_tenants(),
+            source: "configuration",
+            told: now,
+            failures: 0,
+        }
+    }
+
+    /// One more watches, or one fewer. What was gathered is forgotten with the last.
+    pub fn watch(&mut self, more: bool) {
+        self.watchers = if more { self.watchers + 1 } else { self.watchers.saturating_sub(1) };
+        match (&self.observer, self.watchers) {
+            (None, 1..) => self.observer = Some(Observer::new(self.clock.now(), self.tenants.len())),
+            (Some(_), 0) => self.observer = None,
+            _ => {}
+        }
+    }
+
+    pub fn list_told(&mut self, source: &'static str) {
+        (self.source, self.told, self.failures) = (source, self.clock.now(), 0);
+    }
+
+    pub fn list_failed(&mut self) {
+        self.failures += 1;
+    }
+
+    pub fn arrived(&mut self, request: &Request, wait: Micros, effect: Option<Effect>) {
+        let Some(observer) = &mut self.observer else { return };
+        let repeats = match effect {
+            _ if !request.write => Repeats::Free,
+            Some(Effect::Safe) => Repeats::Free,
+            Some(Effect::Keyed { .. }) if request.keyed => Repeats::Discarded,
+            _ => Repeats::Never,
+        };
+        let (id, class, tenant) = (request.id.0, request.class, request.tenant);
+        observer.arrived(self.clock.now(), Seen { id, class, tenant, wait, repeats });
+    }
+
+    pub fn over_share(&mut self, tenant: Option<usize>) {
+        if let Some(observer) = &mut self.observer {
+            observer.over_share(self.clock.now(), tenant);
+        }
+    }
+
+    pub fn sent(&mut self, id: RequestId, server: ServerId) {
+        if let Some(observer) = &mut self.observer {
+            observer.sent(self.clock.now(), id.0, server.0);
+        }
+    }
+
+    pub fn ended(&mut self, id: RequestId, server: ServerId, outcome: Outcome, took: Duration) {
+        if let Some(observer) = &mut self.observer {
+            observer.ended(self.clock.now(), id.0, server.0, end(outcome), took.as_micros() as Micros);
+        }
+    }
+
+    pub fn answered<'a>(&mut self, id: RequestId, kind: Kind, key: impl FnOnce() -> &'a str) {
+        if let Some(observer) = &mut self.observer {
+            observer.answered(self.clock.now(), id.0, kind, key);
+        }
+    }
+
+    pub fn closed(&mut self, id: RequestId) {
+        if let Some(observer) = &mut self.observer {
+            observer.closed(id.0);
+        }
+    }
+}
+
+pub(super) fn kind(answer: &Answer) -> Kind {
+    match answer {
+        Answer::Served(_) => Kind::Served,
+        Answer::Busy(_) => Kind::Busy,
+        Answer::Failed => Kind::Failed,
+    }
+}
+
+fn end(outcome: Outcome) -> End {
+    match outcome {
+        Outcome::Ok => End::Served,
+        Outcome::Miss => End::Miss,
+        Outcome::QueueFull => End::TurnedAway,
+        Outcome::Failed => End::Error,
+        Outcome::TimedOut => End::Silent,
+        Outcome::ConnectError => End::NoConnection,
+        Outcome::Reset => End::Broken,
+        Outcome::Canceled => End::Canceled,
+        Outcome::Ignored => End::NotSent,
+    }
+}
+
+fn waits(waiting: Waiting) -> Waits {
+    match waiting {
+        Waiting::Nothing => Waits::Nothing,
+        Waiting::Flight => Waits::Fetch,
+        Waiting::Place => Waits::Place,
+        Waiting::Pause => Waits::Pause,
+    }
+}
+
+/// What is out at a server.
+#[derive(Clone, Copy, Default)]
+struct Out {
+    count: usize,
+    oldest: Option<Instant>,
+    /// When the last of it is given up at the latest.
+    free: Option<Instant>,
+}
+
+impl<U: Upstream> Driver<U> {
+    /// The node at this moment. Walks over all that is open and listed: asked a few times a second at most, not by
+    /// each request.
+    pub(super) fn look(&mut self) -> Snapshot {
+        let now = self.clock.now();
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut snapshot = Snapshot {
+            at_ms: since_1970.as_millis() as u64,
+            started_ms: self.watched.started_ms,
+            version: env!("CARGO_PKG_VERSION").into(),
+            open: self.open.len(),
+            connections: self.running + self.directory.idle(),
+            list: ListNow {
+                source: self.watched.source.into(),
+                told_s: now.saturating_sub(self.watched.told) as f64 / 1e6,
+                failures: self.watched.failures,
+            },
+            ..Snapshot::default()
+        };
+        if let Some(quotas) = &mut self.quotas {
+            snapshot.shares = quotas.shares(now);
+        }
+        let names = self.directory.names();
+        let mut observer = self.watched.observer.take();
+        if let Some(observer) = &mut observer {
+            observer.figures(now, &mut snapshot, &self.watched.tenants);
+            observer.keep_servers(|id| names.contains_key(&ServerId(id)));
+            let open = |id: u32| {
+                let id = RequestId(id);
+                let waits = self.balancer.waiting(id).map_or(Waits::Nothing, waits);
+                Some((self.open.get(&id)?.call.key.clone(), waits))
+            };
+            let server = |id: u32| {
+                names.get(&ServerId(id)).map_or_else(|| "a server that left".into(), |n| (*n).to_owned())
+            };
+            let class = |class: Option<usize>| {
+                class.and_then(|c| self.watched.classes.get(c)).cloned().unwrap_or_default()
+            };
+            let tenant = |tenant: usize| self.watched.tenants.get(tenant).cloned().unwrap_or_default();
+            snapshot.slow = observer.slow(now, &open, &server, &class, &tenant);
+        }
+        snapshot.boxes = self.boxes(now, observer.as_mut());
+        self.watched.observer = observer;
+        snapshot
+    }
+
+    fn boxes(&self, now: Micros, mut observer: Option<&mut Observer>) -> Vec<BoxNow> {
+        let Some(steering) = &self.steering else { return Vec::new() };
+        let mut out: HashMap<ServerId, Out> = HashMap::new();
+        for running in self.open.values().flat_map(|open| open.attempts.iter().flatten()) {
+            let at = out.entry(running.server).or_default();
+            at.count += 1;
+            at.oldest = Some(at.oldest.map_or(running.sent, |oldest| oldest.min(running.sent)));
+            at.free = at.free.max(Some(self.timers.deadline(&running.timer)));
+        }
+        let known = self.directory.by_name();
+        let instant = Instant::now();
+        let ms = |time: Duration| time.as_secs_f64() * 1e3;
+        let servers = steering.servers(|name| {
+            let (id, serves, idle) = known.get(name).copied().unwrap_or((ServerId(0), false, 0));
+            (serves, out.get(&id).map_or(0, |out| out.count), idle)
+        });
+        let tell = |server: ServerNow| {
+            let id = known.get(server.name.as_str()).map(|(id, ..)| *id);
+            let at = id.and_then(|id| out.get(&id)).copied().unwrap_or_default();
+            let view = id.and_then(|id| self.balancer.server(id));
+            let order = server.held.map(|held| OrderNow {
+                number: held.number,
+                seconds_left: match held.hold {
+                    Hold::Drain => None,
+                    Hold::LeftOut(until) => Some(until.saturating_sub(now) as f64 / 1e6),
+                },
+                lasting: held.lasting,
+            });
+            let left_out = view.and_then(|view| match (view.cut_off, view.silent) {
+                (true, _) => Some("its zone gives no connections".to_owned()),
+                (false, Some(0)) => Some("it owes an answer that is long overdue".to_owned()),
+                (false, Some(silent)) => Some(format!("{silent} attempts in a row had no answer")),
+                (false, None) => None,
+            });
+            let mut told = BoxNow {
+                origin: self.setup.is_origin(&server.kind),
+                name: server.name,
+                zone: server.zone,
+                kind: server.kind,
+                listed: server.listed == State::Serving,
+                serves: server.state == State::Serving,
+                order,
+                out: server.out,
+                oldest_ms: at.oldest.map_or(0.0, |oldest| ms(instant.saturating_duration_since(oldest))),
+                free_in_ms: at.free.map_or(0.0, |free| ms(free.saturating_duration_since(instant))),
+                idle: server.idle,
+                warmth: view.map_or(1.0, |view| view.warmth),
+                slowness: view.map_or(1.0, |view| view.slowness),
+                left_out,
+                ..BoxNow::default()
+            };
+            if let (Some(observer), Some(id)) = (observer.as_deref_mut(), id) {
+                observer.server(now, id.0, &mut told);
+            }
+            told
+        };
+        servers.into_iter().map(tell).collect()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,14 +25,9 @@
 pub use admission::Admission;
 pub use call::{Answer, Call, CallError, Made, Terms, VALUE_LIMIT, Verb};
 pub use clock::Clock;
-pub use driver::{Driver, Gauges, Handles, Options, Orders};
+pub use driver::{Driver, Gauges, Handles, Options, Orders, Watching};
 pub use members::{Entry, List, Members, State};
 pub use paddlefold::{Micros, Outcome};
 pub use requests::{InUse, Pending, Requests};
 pub use steering::{Holding, ServerNow};
 pub use upstream::{Connection, Reply, Target, Upstream};
-
-/// A line for the log. Guards against: a panic where nobody reads the log any more.
-pub fn log(line: std::fmt::Arguments) {
-    let _ = std::io::Write::write_fmt(&mut std::io::stderr(), format_args!("{line}\n"));
-}
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -53,13 +53,21 @@
 #[derive(Clone)]
 pub struct Members {
     pub(crate) to: UnboundedSender<Message>,
+    /// Which source it is, for operators.
+    pub(crate) source: &'static str,
     pub(crate) asked: Option<Arc<Notify>>,
 }
 
 impl Members {
+    /// The same, in the name of a source.
+    pub fn of(mut self, source: &'static str) -> Members {
+        self.source = source;
+        self
+    }
+
     /// Tells a list. False once the core has ended.
     pub fn list(&self, list: List) -> bool {
-        self.to.send(Message::List(list)).is_ok()
+        self.to.send(Message::List(list, self.source)).is_ok()
     }
 
     /// Tells that a call for the list failed, or that the subscription broke; the list held stays. False once
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lilacquay_core::{Gauges, Requests, log};
+use lilacquay_core::{Gauges, Requests};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use tracing::warn;
 
 use crate::protocol::Protocol;
 use crate::seats::Seats;
@@ -82,7 +83,7 @@
                 }
                 // Guards against: an exit, or a busy loop, when descriptors run out.
                 Err(error) => {
-                    log(format_args!("accept: {error}"));
+                    warn!("accept: {error}");
                     self.make_room().await;
                 }
             }
--- a/crates/lilacquay/src/check.rs
+++ b/crates/lilacquay/src/check.rs
@@ -4,7 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use crate::config::{self, Source};
+use crate::appliance::Appliance;
+use crate::config::{self, Config, ConfigError, Source};
 use crate::etcd::Etcd;
 use crate::memcached::Memcached;
 use crate::options::Options;
@@ -82,6 +83,11 @@
     let text = std::fs::read_to_string(file).unwrap_or_default();
     let mistakes = if text.trim_start().starts_with('{') {
         config::check_json(file, None)
+    } else if Appliance::is_meant(&text) {
+        match Config::read(&Source::Appliance(file.to_owned())) {
+            Err(ConfigError::Mistakes(_, mistakes)) => mistakes,
+            _ => Vec::new(),
+        }
     } else if Etcd::is_meant(&text) {
         Etcd::read(file).and_then(|etcd| etcd.settings()).err().unwrap_or_default()
     } else if Memcached::is_meant(&text) {
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -36,8 +36,22 @@
     Load(LoadArgs),
     /// Show or change the list of servers in etcd
     Members(MembersArgs),
-    /// Show the servers of a running node and what it has out at each
+    /// Run a node as an appliance, by one file; `init FILE` writes a documented one
+    Appliance(ApplianceArgs),
+    /// Show a running node: its answers, its list, and its servers with what it has out at each
     Status(ControlArgs),
+    /// Watch and steer a running node from a terminal
+    Console(ConsoleArgs),
+    /// Show what has happened at a running node
+    Events(EventsArgs),
+    /// Have a running node read its configuration again
+    Reload(ControlArgs),
+    /// Have a running node log more or less: error, warn, info, debug or trace
+    Level(LevelArgs),
+    /// Drain a running node itself: it answers all that it has taken, and ends
+    Stop(ControlArgs),
+    /// Have a running node write a bundle for whoever looks for a fault
+    Diagnose(ControlArgs),
     /// Show the orders that hold at a running node
     Orders(ControlArgs),
     /// Take a server out of service at a running node: it finishes what it has and gets nothing new
@@ -56,6 +70,60 @@
     pub json: bool,
 }
 
+#[derive(Args)]
+pub struct ApplianceArgs {
+    /// The appliance's file, in TOML; deploy/appliance.toml documents it
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    #[command(subcommand)]
+    pub order: Option<ApplianceOrder>,
+}
+
+#[derive(Subcommand)]
+pub enum ApplianceOrder {
+    /// Write a documented file, where there is none yet
+    Init {
+        /// Where
+        file: PathBuf,
+    },
+}
+
+#[derive(Args)]
+pub struct ConsoleArgs {
+    /// The node's state folder
+    #[arg(long, value_name = "FOLDER")]
+    pub state: PathBuf,
+    /// Most bytes a second to the terminal, over longer than one screen; 960 suits a serial line of 9600 baud
+    #[arg(long, value_name = "BYTES", default_value_t = 20_000, value_parser = clap::value_parser!(u32).range(100..))]
+    pub bytes_per_second: u32,
+    /// No colours, as with NO_COLOR in the environment
+    #[arg(long)]
+    pub no_colour: bool,
+}
+
+#[derive(Args)]
+pub struct EventsArgs {
+    #[command(flatten)]
+    pub control: ControlArgs,
+    /// Stay, and show those to come
+    #[arg(long)]
+    pub follow: bool,
+    /// Only those behind this number
+    #[arg(long, value_name = "NUMBER", default_value_t = 0)]
+    pub after: u64,
+    /// Only those with these words, in capitals or not
+    #[arg(long, value_name = "WORDS")]
+    pub search: Option<String>,
+}
+
+#[derive(Args)]
+pub struct LevelArgs {
+    /// From which level on
+    pub level: String,
+    #[command(flatten)]
+    pub control: ControlArgs,
+}
+
 #[derive(Args)]
 pub struct DrainArgs {
     /// The server's name in the list
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -6,16 +6,18 @@
 use std::sync::Arc;
 use std::{fmt, fs};
 
-use lilacquay_core::Gauges;
+use lilacquay_core::{Gauges, List};
 use lilacquay_etcd::Settings;
 use lilacquay_fronts::Bounds;
 use lilacquay_members::discovery::Told;
 use paddlefold::setup::{Setup, Stated};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 
+use crate::appliance::Appliance;
 use crate::check::{Mistake, Mistakes, one_line, unreadable};
 use crate::etcd::Etcd;
+use crate::logging::Log;
 use crate::memcached::{Memcached, Ready};
 use crate::options::Options;
 use crate::quota::Quota;
@@ -34,6 +36,8 @@
     Platform,
     /// A file of options, which names the JSON file.
     Options(PathBuf),
+    /// The appliance's file, which says all.
+    Appliance(PathBuf),
 }
 
 impl Source {
@@ -41,7 +45,7 @@
     pub fn path(&self) -> PathBuf {
         match self {
             Source::Platform => env::var_os("EDGE_CONFIG").unwrap_or_default().into(),
-            Source::Options(path) => path.clone(),
+            Source::Options(path) | Source::Appliance(path) => path.clone(),
         }
     }
 }
@@ -63,11 +67,16 @@
     pub sockets: usize,
     pub memory_mb: usize,
     pub known: Told,
+    /// Whether what is known is all there is: no source tells the list, but a reload.
+    pub fixed: bool,
+    pub log: Log,
     pub setup: Setup,
 }
 
 /// What a reload looks at: where the list of servers comes from, and what changes only with a restart.
 pub struct Sources {
+    /// The list, where no source tells it.
+    pub fixed: Option<List>,
     pub discovery: Option<SocketAddr>,
     pub etcd: Option<(Etcd, Settings)>,
     pub memcached: Option<Memcached>,
@@ -132,6 +141,14 @@
         read.filter(|_| found.is_empty()).ok_or(found)
     }
 
+    /// What the appliance's file comes to. Its own reader has told all that is wrong in it.
+    fn compiled(file: &Path, node: &Value) -> Result<Read, Vec<Mistake>> {
+        let text = node.to_string();
+        let mut mistakes = Mistakes::new(file, &text);
+        let read = Read::parse(&text, &mut mistakes);
+        read.ok_or_else(|| mistakes.into_found())
+    }
+
     fn parse(text: &str, mistakes: &mut Mistakes) -> Option<Read> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = match serde_path_to_error::deserialize(&mut json) {
@@ -243,8 +260,15 @@
     pub fn read(source: &Source) -> Result<Config, ConfigError> {
         let read =
             |path: &Path| Read::new(path).map_err(|found| ConfigError::Mistakes(source.clone(), found));
+        let mut fixed = false;
         let (read, options) = match source {
             Source::Platform => (read(&platform_file()?)?, None),
+            Source::Appliance(path) => {
+                let wrong = |found| ConfigError::Mistakes(source.clone(), found);
+                let appliance = Appliance::read(path).map_err(wrong)?;
+                fixed = appliance.fixed;
+                (Read::compiled(path, &appliance.node).map_err(wrong)?, Some(appliance.options))
+            }
             Source::Options(path) => {
                 let options =
                     Options::read(path).map_err(|found| ConfigError::Mistakes(source.clone(), found))?;
@@ -264,7 +288,7 @@
         }
         let discovery = address("EDGE_DISCOVERY", said.map(|said| said.discovery), read.discovery);
         let discovery = match discovery {
-            Err(ConfigError::Missing(_)) if etcd.is_some() => None,
+            Err(ConfigError::Missing(_)) if etcd.is_some() || fixed => None,
             other => Some(other?),
         };
         Ok(Config {
@@ -278,6 +302,8 @@
             sockets: said.and_then(|said| said.sockets).or(read.limits.sockets).unwrap_or(SOCKETS),
             memory_mb: said.and_then(|said| said.memory_mb).or(read.limits.memory_mb).unwrap_or(MEMORY_MB),
             known: read.known,
+            fixed,
+            log: options.map(|said| said.log).unwrap_or_default(),
             setup: read.setup,
         })
     }
@@ -296,15 +322,52 @@
                     Some(address) => address,
                     None => address("EDGE_DISCOVERY", None, None)?,
                 };
-                Ok(Sources { discovery: Some(discovery), etcd: None, memcached: None, quota: None })
+                Ok(Sources {
+                    fixed: None,
+                    discovery: Some(discovery),
+                    etcd: None,
+                    memcached: None,
+                    quota: None,
+                })
             }
-            Source::Options(_) => {
-                let Config { discovery, etcd, memcached, quota, .. } = Config::read(source)?;
-                Ok(Sources { discovery, etcd, memcached: memcached.map(|(file, _)| file), quota })
+            Source::Options(_) | Source::Appliance(_) => {
+                let Config { discovery, etcd, memcached, quota, known, fixed, .. } = Config::read(source)?;
+                let fixed = fixed.then_some(List { full: true, ..known.list });
+                Ok(Sources { fixed, discovery, etcd, memcached: memcached.map(|(file, _)| file), quota })
             }
         }
     }
 
+    /// What may be shown to whoever looks for a fault: no secret is read into it, nor where secrets are kept.
+    pub fn described(&self) -> Value {
+        let servers = self.known.list.servers.iter();
+        let servers: Vec<Value> = servers
+            .map(|server| json!({ "name": server.id, "addr": server.addr, "zone": server.zone, "kind": server.kind }))
+            .collect();
+        let etcd = self
+            .etcd
+            .as_ref()
+            .map(|(etcd, settings)| json!({ "prefix": etcd.prefix, "endpoints": settings.endpoints }));
+        let listeners = self.memcached.iter().flat_map(|(_, ready)| &ready.listeners);
+        let listeners: Vec<Value> =
+            listeners.map(|listener| json!({ "name": listener.name, "address": listener.address })).collect();
+        json!({
+            "version": env!("CARGO_PKG_VERSION"),
+            "listen": self.listen,
+            "discovery": self.discovery,
+            "etcd": etcd,
+            "memcached": listeners,
+            "quotas": self.quota.is_some(),
+            "sockets": self.sockets,
+            "memory_mb": self.memory_mb,
+            "log": format!("{:?}", self.log),
+            "classes": self.setup.names.all_classes(),
+            "tenants": self.setup.names.all_tenants(),
+            "settings": format!("{:?}", self.setup.settings),
+            "servers": servers,
+        })
+    }
+
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
     /// for those to come.
     pub fn client_bounds(&self, gauges: Arc<Gauges>) -> Bounds {
--- a/crates/lilacquay/src/control.rs
+++ b/crates/lilacquay/src/control.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use lilacquay_control::{Answer, Client, ClientError, Server, Standing, Verb};
+use lilacquay_control::{Answer, Client, ClientError, Standing, Verb};
+use lilacquay_observe::{BoxNow, Event, Snapshot};
 
-use crate::cli::{ControlArgs, DrainArgs, UndrainArgs};
+use crate::cli::{ControlArgs, DrainArgs, EventsArgs, LevelArgs, UndrainArgs};
 
 /// The node did not obey; nothing has changed.
 const REFUSED: u8 = 3;
@@ -15,9 +16,63 @@
 /// How long a drain is followed, and how often it is looked at.
 const LONGEST_DRAIN: Duration = Duration::from_secs(60);
 const STEP: Duration = Duration::from_millis(100);
+/// A node that answers nothing for so long is held to be stuck.
+const PATIENCE: Duration = Duration::from_secs(5);
 
 pub fn status(args: &ControlArgs) -> ExitCode {
-    code(ask(args, Verb::Servers))
+    code(ask(args, Verb::Look))
+}
+
+/// Gives an order on the node itself.
+pub fn node(args: &ControlArgs, verb: Verb) -> ExitCode {
+    code(ask(args, verb))
+}
+
+pub fn level(args: LevelArgs) -> ExitCode {
+    code(ask(&args.control, Verb::Level { level: args.level }))
+}
+
+/// Shows events; with `--follow` until it is ended, or the node is.
+pub fn events(args: &EventsArgs) -> ExitCode {
+    let EventsArgs { control, follow, after, search } = args;
+    let search = search.as_ref().map(|words| words.to_lowercase());
+    let shown = || {
+        let verb = Verb::Events { after: *after, follow: *follow };
+        let mut stream =
+            connect(control)?.stream(verb, if *follow { None } else { Some(PATIENCE) }).map_err(other)?;
+        loop {
+            let Answer::Events { told } = stream.next_answer().map_err(other)? else {
+                return Err(Failure::Other("the node told no events".into()));
+            };
+            if told.missed > 0 && !control.json {
+                eprintln!("lilacquay: {} events before these are no longer kept", told.missed);
+            }
+            let wanted = |event: &&Event| {
+                search.as_ref().is_none_or(|words| event.text.to_lowercase().contains(words))
+            };
+            for event in told.events.iter().filter(wanted) {
+                match control.json {
+                    true => println!("{}", serde_json::to_string(event).unwrap_or_default()),
+                    false => println!(
+                        "{:6} {} {:5} {}",
+                        event.number,
+                        clock(event.at_ms),
+                        event.level,
+                        event.text.escape_debug()
+                    ),
+                }
+            }
+            if !follow {
+                return Ok(());
+            }
+        }
+    };
+    code(shown())
+}
+
+fn clock(at_ms: u64) -> String {
+    let at = UNIX_EPOCH + Duration::from_millis(at_ms);
+    humantime::format_rfc3339_seconds(at).to_string()
 }
 
 pub fn orders(args: &ControlArgs) -> ExitCode {
@@ -80,10 +135,18 @@
 }
 
 fn answer(args: &ControlArgs, verb: Verb) -> Result<Answer, Failure> {
-    Client::connect(&args.state).and_then(|mut client| client.ask(verb)).map_err(|error| match error {
+    connect(args)?.ask(verb).map_err(other)
+}
+
+fn connect(args: &ControlArgs) -> Result<Client, Failure> {
+    Client::connect(&args.state).map_err(other)
+}
+
+fn other(error: ClientError) -> Failure {
+    match error {
         ClientError::NoNode(_) => Failure::NoNode(error.to_string()),
         other => Failure::Other(other.to_string()),
-    })
+    }
 }
 
 /// Asks, and prints the answer.
@@ -115,18 +178,38 @@
                 );
             }
         }
-        Answer::Servers { servers } => {
-            println!("{:24} {:8} {:10} {:>5} {:>5}  state", "server", "zone", "kind", "out", "idle");
-            servers.iter().for_each(row);
+        Answer::Snapshot { snapshot } => overview(snapshot),
+        Answer::Done { what, unrecorded } => {
+            println!("{}", what.escape_debug());
+            if let Some(why) = unrecorded {
+                eprintln!("lilacquay: it is done but not recorded: {why}; make room in the state folder");
+            }
         }
-        Answer::Refused { .. } | Answer::Error { .. } => {} // told as failures
+        Answer::Servers { .. } | Answer::Events { .. } => {} // asked for elsewhere
+        Answer::Refused { .. } | Answer::Error { .. } => {}  // told as failures
     }
 }
 
-fn row(server: &Server) {
+fn overview(now: &Snapshot) {
+    println!("version {}, up since {}", now.version.escape_debug(), clock(now.started_ms));
+    println!(
+        "{} requests open, {} connections to servers, {} of {} descriptors, {} KiB",
+        now.open, now.connections, now.descriptors, now.descriptor_limit, now.memory_kb
+    );
+    let failures = if now.list.failures > 0 {
+        format!(", {} calls failed since", now.list.failures)
+    } else {
+        String::new()
+    };
+    println!("list from {}, told {:.0} s ago{failures}", now.list.source.escape_debug(), now.list.told_s);
+    println!("{:24} {:8} {:10} {:>5} {:>5}  state", "server", "zone", "kind", "out", "idle");
+    now.boxes.iter().for_each(row);
+}
+
+fn row(server: &BoxNow) {
     let plain = |text: &str| text.escape_debug().to_string();
-    let (name, zone, kind) = (plain(&server.server), plain(&server.zone), plain(&server.kind));
-    let order = server.order.map(|number| format!(" (order {number})")).unwrap_or_default();
+    let (name, zone, kind) = (plain(&server.name), plain(&server.zone), plain(&server.kind));
+    let order = server.order.as_ref().map(|order| format!(" (order {})", order.number)).unwrap_or_default();
     let state = match (server.serves, server.listed) {
         (true, _) => "serves",
         (false, true) => "out of service",
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use lilacquay_control::{Control, Folder};
-use lilacquay_core::{Driver, Handles, Members, Options, Orders, log};
+use lilacquay_control::{Command, Control, Folder, Host, Outcome};
+use lilacquay_core::{Driver, Handles, List, Members, Options, Orders};
 use lilacquay_etcd::Settings;
 use lilacquay_fronts::Hall;
 use lilacquay_fronts::resp::Resp;
@@ -15,14 +15,18 @@
 use paddlefold::setup::Names;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::task::AbortOnDropHandle;
+use tracing::{info, warn};
 
 use crate::config::{Config, Source};
 use crate::etcd::Etcd;
+use crate::logging::Logging;
 use crate::memcached::Memcached;
 use crate::quota::Quota;
+use crate::restart::keep;
 
 /// After word to stop, connections that were on their way are still taken for so long.
 const STILL_ACCEPTING: Duration = Duration::from_millis(500);
@@ -31,8 +35,35 @@
 /// ... and so much more: it grants 0.7 s.
 const LAST_WRITES: Duration = Duration::from_millis(600);
 
-/// Serves until SIGTERM, then answers what was taken.
-pub async fn run(config: Config, source: Source) -> io::Result<()> {
+/// Orders on the node that wait to be carried out.
+const COMMANDS: usize = 16;
+
+/// Why a node has ended that nobody told to.
+#[derive(Debug)]
+pub enum Failure {
+    /// It could not start.
+    Start(io::Error),
+    /// Its core has failed. What it had taken was answered as failed.
+    Core(String),
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Failure::Start(error) => error.fmt(f),
+            Failure::Core(what) => write!(f, "the core has failed: {what}"),
+        }
+    }
+}
+
+impl From<io::Error> for Failure {
+    fn from(error: io::Error) -> Self {
+        Failure::Start(error)
+    }
+}
+
+/// Serves until SIGTERM or an operator's order, then answers what was taken.
+pub async fn run(config: Config, source: Source, logging: &Logging) -> Result<(), Failure> {
     let mut stop = signal(SignalKind::terminate())?;
     // Guards against: an end on SIGHUP. From here to the process's end it has no other effect than a reload.
     let reload = signal(SignalKind::hangup())?;
@@ -62,26 +93,59 @@
     for listener in config.memcached.iter().flat_map(|(_, ready)| &ready.listeners) {
         fronts.push((bind(listener.address).await?, listener));
     }
-    let driver = tokio::spawn(driver.run());
+    let mut driver = AbortOnDropHandle::new(tokio::spawn(driver.run()));
+    // All of it ends with this function, so that a core that has failed leaves nothing behind.
+    let mut parts = JoinSet::new();
+    let (to_node, commands) = mpsc::channel(COMMANDS);
     if let Some(state) = state {
-        let control = Control::listen(state, orders.clone()).map_err(of_state)?;
-        tokio::spawn(control.run());
+        let host = Host {
+            events: logging.events.clone(),
+            commands: to_node.clone(),
+            described: config.described(),
+            descriptor_limit: config.sockets,
+        };
+        let listen = {
+            let (state, orders) = (state, orders.clone());
+            move || Control::listen(state.clone(), orders.clone(), host.clone())
+        };
+        let mut first = Some(listen().map_err(of_state)?);
+        parts.spawn(keep("control", move || {
+            let control = first.take().map_or_else(&listen, Ok);
+            async move {
+                match control {
+                    Ok(control) => control.run().await,
+                    Err(error) => warn!("control: {error}"),
+                }
+            }
+        }));
     }
-    log(format_args!("listening on {}", listener.local_addr()?));
-    let followed = Followed::start(members, orders, &config);
-    tokio::spawn(followed.follow_configuration(reload, source));
+    info!("listening on {}", listener.local_addr()?);
+    let followed = Followed::start(members, orders, &config, &mut parts);
+    let (to_stop, mut stopped) = mpsc::channel(1);
+    let told = Told { commands, to_stop, logging };
+    let told = told.follow(followed, reload, source);
+    tokio::pin!(told);
     let mut accepting = JoinSet::new();
     accepting.spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
     let nonce = nonce(config.seed);
     for (bound, listener) in fronts {
-        log(format_args!("memcached {:?} is listening on {}", listener.name, bound.local_addr()?));
+        info!("memcached {:?} is listening on {}", listener.name, bound.local_addr()?);
         let front = listener.front(gauges.clone(), nonce);
         accepting.spawn(hall.clone().accept(bound, move || front.connection()));
     }
-    tokio::select! {
-        _ = stop.recv() => {}
-        ended = driver => return Err(io::Error::other(format!("the driver ended: {ended:?}"))),
+    let ended = tokio::select! {
+        _ = stop.recv() => Ok(()),
+        _ = stopped.recv() => Ok(()),
+        () = &mut told => Ok(()),
+        ended = &mut driver => Err(format!("{ended:?}")),
+        Some(ended) = accepting.join_next() => Err(format!("a listener ended: {ended:?}")),
+    };
+    if let Err(what) = ended {
+        accepting.shutdown().await;
+        let _ = timeout_at(Instant::now() + LAST_WRITES, hall.close()).await; // what is owed fails with the core
+        return Err(Failure::Core(what));
     }
+    info!("ending: what has been taken is answered");
     let last = Instant::now() + longest + LAST_WRITES;
     sleep(STILL_ACCEPTING).await;
     accepting.shutdown().await; // the listeners are closed with it
@@ -107,6 +171,38 @@
     fastrand::Rng::with_seed(seed ^ start).u64(..)
 }
 
+/// What a node is told while it runs: signals, and operators' orders.
+struct Told<'a> {
+    commands: mpsc::Receiver<Command>,
+    to_stop: mpsc::Sender<()>,
+    logging: &'a Logging,
+}
+
+impl Told<'_> {
+    /// Carries out what is told, one after the other.
+    async fn follow(mut self, followed: Followed, mut reload: Signal, source: Source) {
+        loop {
+            tokio::select! {
+                Some(()) = reload.recv() => {
+                    let _ = followed.read_again(&source); // it has said what it came to
+                }
+                Some(command) = self.commands.recv() => match command {
+                    Command::Reload(answer) => drop(answer.send(followed.read_again(&source))),
+                    Command::Level(level, answer) => {
+                        let set = self.logging.set_level(&level);
+                        let _ = answer.send(set.map(|()| format!("logs from {level} on")));
+                    }
+                    Command::Stop(answer) => {
+                        let what = "the node drains: it answers what it has taken, and ends";
+                        let _ = answer.send(Ok(what.into()));
+                        let _ = self.to_stop.try_send(()); // told before
+                    }
+                },
+            }
+        }
+    }
+}
+
 /// What a reload looks at: the sources of members, which follow it, and what stays as it was.
 struct Followed {
     discovery: Option<watch::Sender<SocketAddr>>,
@@ -114,58 +210,72 @@
     memcached: Option<Memcached>,
     /// Where other quotas are told, with the names that they are read by.
     quotas: Option<(Orders, Arc<Names>)>,
+    /// Where the list is told, if the configuration has all of it.
+    fixed: Option<Members>,
 }
 
 impl Followed {
     /// Starts the sources. Where there are two, etcd goes before discovery: its first list ends that.
-    fn start(members: Members, orders: Orders, config: &Config) -> Followed {
+    fn start(members: Members, orders: Orders, config: &Config, parts: &mut JoinSet<()>) -> Followed {
         let known = Some(config.known.version).filter(|_| !config.known.list.servers.is_empty());
         let nodes = config.setup.settings.nodes;
         let discovery = config.discovery.map(|at| {
             let (to, address) = watch::channel(at);
-            (to, tokio::spawn(discovery::Watch::new(members.clone(), known, nodes).run(address)))
+            let members = members.clone().of("discovery");
+            let follow = move || discovery::Watch::new(members.clone(), known, nodes).run(address.clone());
+            (to, parts.spawn(keep("discovery", follow)))
         });
         let (discovery, rival) = discovery.unzip();
+        let fixed = config.fixed.then(|| members.clone());
         let etcd = config.etcd.clone().map(|(etcd, settings)| {
             let (to, followed) = watch::channel(settings.clone());
-            let (folder, rival) = (etcd.keep.clone(), rival.map(|task| task.abort_handle()));
-            let source =
-                etcd::source::Source::new(members, settings, &etcd.prefix, config.seed, folder, rival);
-            tokio::spawn(source.run(followed));
+            let (prefix, folder, seed) = (etcd.prefix.clone(), etcd.keep.clone(), config.seed);
+            let members = members.of("etcd");
+            parts.spawn(keep("etcd", move || {
+                let (members, settings) = (members.clone(), followed.borrow().clone());
+                let (folder, rival) = (folder.clone(), rival.clone());
+                etcd::source::Source::new(members, settings, &prefix, seed, folder, rival)
+                    .run(followed.clone())
+            }));
             (etcd, to)
         });
         let memcached = config.memcached.as_ref().map(|(file, _)| file.clone());
         let quotas = config.quota.as_ref().map(|_| (orders, config.setup.names.clone()));
-        Followed { discovery, etcd, memcached, quotas }
+        Followed { discovery, etcd, memcached, quotas, fixed }
     }
 
-    /// At each SIGHUP, tells where the list comes from by the configuration as it is now.
-    async fn follow_configuration(self, mut reload: Signal, source: Source) {
-        while reload.recv().await.is_some() {
-            match Config::sources_anew(&source) {
-                Ok(new) => {
-                    self.discovery_moved(new.discovery);
-                    self.etcd_moved(new.etcd);
-                    self.quotas_changed(new.quota);
-                    if new.memcached != self.memcached {
-                        log(format_args!(
-                            "memcached's options change only with a restart; kept as they were"
-                        ));
-                    }
-                }
-                Err(error) => log(format_args!("configuration kept as it was: {error}")),
-            }
+    /// Goes by the configuration as it is now, as far as it may change while the node runs.
+    fn read_again(&self, source: &Source) -> Outcome {
+        let new = Config::sources_anew(source).map_err(|error| {
+            warn!("configuration kept as it was: {error}");
+            format!("the configuration is kept as it was: {error}")
+        })?;
+        self.list_changed(new.fixed);
+        self.discovery_moved(new.discovery);
+        self.etcd_moved(new.etcd);
+        self.quotas_changed(new.quota);
+        if new.memcached != self.memcached {
+            warn!("memcached's options change only with a restart; kept as they were");
+        }
+        Ok("the configuration is read again: sources of members, boxes of a fixed list, quotas".into())
+    }
+
+    fn list_changed(&self, new: Option<List>) {
+        match (&self.fixed, new) {
+            (Some(members), Some(list)) => _ = members.list(list), // nobody goes by it once the core has ended
+            (None, None) => {}
+            _ => warn!("a source of members comes or goes only with a restart; kept as it was"),
         }
     }
 
     fn discovery_moved(&self, new: Option<SocketAddr>) {
         match (&self.discovery, new) {
             (Some(to), Some(new)) => {
-                log(format_args!("discovery is at {new}"));
+                info!("discovery is at {new}");
                 let _ = to.send(new); // nobody follows it once the node ends, or etcd has taken over
             }
             (None, None) => {}
-            _ => log(format_args!("discovery comes or goes only with a restart; kept as it was")),
+            _ => warn!("discovery comes or goes only with a restart; kept as it was"),
         }
     }
 
@@ -173,7 +283,7 @@
         match (&self.quotas, new) {
             (Some((orders, names)), Some(new)) => orders.quotas(new.admission(names)),
             (None, None) => {}
-            _ => log(format_args!("quotas come or go only with a restart; kept as they were")),
+            _ => warn!("quotas come or go only with a restart; kept as they were"),
         }
     }
 
@@ -181,13 +291,13 @@
         match (&self.etcd, new) {
             (Some((old, to)), Some((new, settings))) => {
                 if (&new.prefix, &new.keep) != (&old.prefix, &old.keep) {
-                    log(format_args!("etcd's prefix and keep change only with a restart; kept as they were"));
+                    warn!("etcd's prefix and keep change only with a restart; kept as they were");
                 }
-                log(format_args!("etcd is at {}", settings.endpoints.join(", ")));
+                info!("etcd is at {}", settings.endpoints.join(", "));
                 let _ = to.send(settings); // nobody follows it once the node ends
             }
             (None, None) => {}
-            _ => log(format_args!("etcd comes or goes only with a restart; kept as it was")),
+            _ => warn!("etcd comes or goes only with a restart; kept as it was"),
         }
     }
 }
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -7,6 +7,7 @@
 
 use crate::check::{Mistake, Mistakes, unreadable};
 use crate::etcd::Etcd;
+use crate::logging::{Files, Format, LEVELS_ARE, Log, parse_level};
 use crate::memcached::Memcached;
 use crate::quota::Quota;
 use crate::section::{self, Section};
@@ -32,6 +33,8 @@
     pub quota: Option<Quota>,
     /// The state folder, in which operators' orders are taken.
     pub control: Option<PathBuf>,
+    /// How it is logged.
+    pub log: Log,
 }
 
 impl Options {
@@ -55,7 +58,7 @@
     fn parse(file: &Path, text: &str, mistakes: &mut Mistakes) -> Option<(Options, Named)> {
         let table = section::parse(text, "deploy/serve.toml", mistakes)?;
         let mut root = Section::root(&table, mistakes);
-        root.only(&["node", "resp", "discovery", "limits", "etcd", "memcached", "quota", "control"]);
+        root.only(&["node", "resp", "discovery", "limits", "etcd", "memcached", "quota", "control", "log"]);
         let node = root.text("node");
         if node.is_none() && !root.has("node") {
             root.missing("node", "name the platform's JSON file, as in node = \"node.json\"");
@@ -75,6 +78,7 @@
         control.only(&["folder"]);
         let folder = file.parent().unwrap_or(Path::new(""));
         let control = control.text("folder").map(|state| folder.join(state));
+        let log = log(&mut root, folder);
         let node = folder.join(node?);
         let options = Options {
             node,
@@ -86,12 +90,35 @@
             memcached: None,
             quota: None,
             control,
+            log,
         };
         let named = |file: Option<&str>| file.map(|file| folder.join(file));
         Some((options, Named { etcd: named(etcd), memcached: named(memcached), quota: named(quota) }))
     }
 }
 
+/// How it is logged: to standard error, unless a folder is named.
+pub fn log(root: &mut Section, folder: &Path) -> Log {
+    let mut section = root.section("log");
+    section.only(&["level", "format", "folder", "size_mb", "files"]);
+    let mut log = Log::default();
+    if let Some(text) = section.text("level") {
+        match parse_level(text) {
+            Some(level) => log.level = level,
+            None => section.note(section.place("level"), "level", "no such level", LEVELS_ARE),
+        }
+    }
+    match section.text("format") {
+        None | Some("text") => {}
+        Some("json") => log.format = Format::Json,
+        Some(_) => section.note(section.place("format"), "format", "no such form", "write text or json"),
+    }
+    let bytes = section.number("size_mb", 1..=1 << 12).unwrap_or(16) << 20;
+    let old = section.number("files", 1..=1000).unwrap_or(4);
+    log.files = section.text("folder").map(|at| Files { folder: folder.join(at), bytes, old });
+    log
+}
+
 /// Files with options of their own, not read yet.
 struct Named {
     etcd: Option<PathBuf>,
@@ -123,6 +150,7 @@
         assert!(options.etcd.is_some() && options.memcached.is_some() && options.quota.is_some());
         assert!(options.node.ends_with("node.json"));
         assert!(options.control.is_some_and(|folder| folder.ends_with("state")));
+        assert!(options.log.format == Format::Json && options.log.files.is_some());
         assert!(options.listen.is_some() && options.discovery.is_some());
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
     }
@@ -134,7 +162,7 @@
             ("[limits]", "1: node: missing; name the platform's JSON file, as in node = \"node.json\""),
             (
                 "node = \"n\"\nport = 1",
-                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd, memcached, quota, control",
+                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd, memcached, quota, control, log",
             ),
             ("node = \"n\"\nresp = 1", "2: resp: not a table; write [resp] and its keys below"),
             (
--- a/crates/lilacquay/src/section.rs
+++ b/crates/lilacquay/src/section.rs
@@ -144,6 +144,22 @@
         address
     }
 
+    /// A number that need not be whole.
+    pub fn fraction(&mut self, key: &str, range: std::ops::RangeInclusive<f64>) -> Option<f64> {
+        let value = self.get(key)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(n) => n.as_str().replace('_', "").parse::<f64>().ok(),
+            DeValue::Float(n) => n.as_str().replace('_', "").parse().ok(),
+            _ => None,
+        };
+        let good = number.filter(|n| range.contains(n));
+        if good.is_none() {
+            let mend = format!("write a number from {} to {}", range.start(), range.end());
+            self.wrong(key, value, "out of range".into(), &mend);
+        }
+        good
+    }
+
     pub fn number(&mut self, key: &str, range: std::ops::RangeInclusive<usize>) -> Option<usize> {
         let value = self.get(key)?;
         let number = value.get_ref().as_integer();
--- a/crates/members/src/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -9,13 +9,14 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use lilacquay_core::{Entry, List, Members, State, log};
+use lilacquay_core::{Entry, List, Members, State};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
+use tracing::warn;
 
 /// How long a watch waits for news, and how much longer the answer may take. Guards against: a discovery
 /// that has fallen silent and is believed to have no news for long; what it has to tell counts as told
@@ -190,13 +191,17 @@
             Ok(told) => {
                 (self.whole, self.after) = (false, told.version);
                 if told.skipped > 0 && !self.complained {
-                    log(format_args!("discovery: {} entries can't be read and are skipped", told.skipped));
+                    warn!(
+                        source = "discovery",
+                        skipped = told.skipped,
+                        "entries can't be read and are skipped"
+                    );
                     self.complained = true;
                 }
                 Some(told.list)
             }
             Err(error) => {
-                log(format_args!("discovery: {error}"));
+                warn!(source = "discovery", "{error}");
                 None
             }
         }
--- a/crates/members/src/etcd/source.rs
+++ b/crates/members/src/etcd/source.rs
@@ -4,13 +4,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use lilacquay_core::{Clock, Members, log};
+use lilacquay_core::{Clock, Members};
 use lilacquay_etcd::api::{RangeRequest, WatchCreateRequest};
 use lilacquay_etcd::{Asker, Client, Error, Settings};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle, spawn_blocking};
 use tokio::time::sleep_until;
 use tokio_util::task::AbortOnDropHandle;
+use tracing::{info, warn};
 
 use super::follower::{Action, Call, Event, Follower, Note, Options};
 use super::kept::Kept;
@@ -55,7 +56,7 @@
         let kept = folder.as_ref().and_then(|folder| {
             let _ = std::fs::create_dir_all(folder); // one that can't be had shows when it is written to
             Kept::take(folder).unwrap_or_else(|error| {
-                log(format_args!("members: etcd: the kept list can't be used: {error}"));
+                warn!(source = "etcd", "the kept list can't be used: {error}");
                 None
             })
         });
@@ -119,7 +120,7 @@
             Action::Tell(change) => {
                 if let Some(rival) = self.rival.take() {
                     rival.abort();
-                    log(format_args!("members: etcd goes before discovery from here on"));
+                    info!(source = "etcd", "etcd goes before discovery from here on");
                 }
                 return self.members.list(change.list);
             }
@@ -130,12 +131,12 @@
     }
 
     fn note(&self, note: &Note) {
+        let endpoint = |n: usize| self.settings.endpoints.get(n).map_or("", String::as_str);
         match note {
-            Note::Following(_, _, n) | Note::Lost(n, ..) => {
-                let endpoint = self.settings.endpoints.get(*n).map_or("", String::as_str);
-                log(format_args!("members: etcd: {note} ({endpoint})"));
-            }
-            _ => log(format_args!("members: etcd: {note}")),
+            Note::Following(_, _, n) => info!(source = "etcd", endpoint = endpoint(*n), "{note}"),
+            Note::Kept(..) => info!(source = "etcd", "{note}"),
+            Note::Lost(n, ..) => warn!(source = "etcd", endpoint = endpoint(*n), "{note}"),
+            _ => warn!(source = "etcd", "{note}"),
         }
     }
 
@@ -207,7 +208,7 @@
             match kept.write(&folder) {
                 Ok(()) => failing.store(false, Ordering::Relaxed),
                 Err(error) if !failing.swap(true, Ordering::Relaxed) => {
-                    log(format_args!("members: etcd: the list can't be kept for now: {error}"));
+                    warn!(source = "etcd", "the list can't be kept for now: {error}");
                 }
                 Err(_) => {}
             }
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -18,7 +18,10 @@
 mod cost;
 #[path = "health.rs"]
 mod health;
+#[path = "view.rs"]
+mod view;
 use cost::Pick;
+pub use view::{ServerView, Waiting};
 
 /// Caches in a key's candidate set.
 const SET: usize = 3;
--- a/crates/paddlefold/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -26,4 +26,4 @@
 pub mod wire;
 
 pub use api::*;
-pub use brain::Balancer;
+pub use brain::{Balancer, ServerView, Waiting};
--- a/crates/paddlefold/src/setup.rs
+++ b/crates/paddlefold/src/setup.rs
@@ -134,6 +134,14 @@
     pub fn tenant(&self, name: &str) -> Option<usize> {
         self.tenants.get(name).copied()
     }
+    /// The names of the classes, by index.
+    pub fn all_classes(&self) -> Vec<String> {
+        by_index(&self.classes)
+    }
+    /// The names of the tenants, by index.
+    pub fn all_tenants(&self) -> Vec<String> {
+        by_index(&self.tenants)
+    }
 }
 
 /// What the settings tell: the module's part, the node's part, and the names behind the indices.
@@ -228,6 +236,13 @@
     }
 }
 
+/// Two of one name leave a gap, which is filled with an empty one.
+fn by_index(names: &HashMap<String, usize>) -> Vec<String> {
+    let mut all = vec![String::new(); names.values().max().map_or(0, |last| last + 1)];
+    names.iter().for_each(|(name, &index)| all[index].clone_from(name));
+    all
+}
+
 /// The index of a name; a new one for a name not met before.
 fn number(names: &mut HashMap<String, u32>, name: Cow<str>) -> u32 {
     let next = names.len() as u32;
