--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::Arc;
 use std::{fmt, fs};
@@ -89,6 +89,26 @@
         Subject::start(command, Some(folder))
     }
 
+    /// Starts a node that takes orders, and may be watched; tells its state folder.
+    ///
+    /// # Errors
+    /// If it does not come up.
+    pub fn controlled(program: &Path, configuration: &str) -> io::Result<(Subject, PathBuf)> {
+        let folder = tempfile::tempdir()?;
+        let file = |name: &str| folder.path().join(name);
+        fs::write(file("node.json"), configuration)?;
+        fs::write(file("serve.toml"), "node = \"node.json\"\n[control]\nfolder = \"state\"\n")?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(file("serve.toml"));
+        let state = file("state");
+        Ok((Subject::start(command, Some(folder))?, state))
+    }
+
+    /// The number of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Has a node that was started with options of its own read others.
     ///
     /// # Errors
