--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -79,7 +79,6 @@
         (Node::Here(_), None) => {
             Span::styled(format!("SILENT for {}: figures are old", ago(model.silent_s())), look.bad())
         }
-        (Node::Here(now), _) if now.ending => Span::styled("ending", look.warn()),
         (Node::Here(now), _) => {
             let up = now.at_ms.saturating_sub(now.started_ms) as f64 / 1e3;
             let seen = if now.watched_s < 60.0 {
--- a/crates/console/tests/model.rs
+++ b/crates/console/tests/model.rs
@@ -60,7 +60,6 @@
         started_ms: rng.u64(0..3),
         version: text(rng),
         watched_s: float(rng),
-        ending: rng.bool(),
         open: number(rng) as usize,
         memory_kb: number(rng),
         seconds: many(rng, 60, |rng| Second {
--- a/crates/observe/src/snapshot.rs
+++ b/crates/observe/src/snapshot.rs
@@ -17,8 +17,6 @@
     pub version: String,
     /// For how long figures have been gathered, in seconds: they are while somebody looks. 0 if nobody did before.
     pub watched_s: f64,
-    /// Whether the node is ending.
-    pub ending: bool,
     /// Requests that are owed an answer or have an attempt out.
     pub open: usize,
     /// Connections to servers, in use or at rest, as last counted.
