End a console at SIGTERM also where its terminal takes nothing, and fill terminals in tests

Need: reading the change again, the test that blocked terminals filled none: the console's keys were drawn together, and its pace kept it under the 64 KiB that a pseudo-terminal holds. Filled for certain, a console in the midst of a write outlasted SIGTERM for good, and one whose terminal has gone ended in a panic of its last words (status 101). Change: a thread takes the signals, and ends the process a second later with the terminal's mode given back, where it has not ended itself; last words that nobody can read are dropped. The tests draw anew until the kernel says that the console stands in a write. Sixteen consoles, of which four stand in a write and six are stopped, hold up nothing as before.

--- a/crates/console/src/run.rs
+++ b/crates/console/src/run.rs
@@ -10,18 +10,21 @@
 
 use rustix::process::{Signal, getpid, kill_process};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGWINCH};
+use signal_hook::iterator::Signals;
 
 use crate::keys::Keys;
 use crate::link::Link;
 use crate::model::{Effect, Input, Model};
 use crate::pace::Pace;
-use crate::terminal::{Drawn, drawn, restore, take, with_restored};
+use crate::terminal::{Drawn, drawn, restore, restore_mode, take, with_restored};
 use crate::view::{Look, draw};
 
 /// How often it looks whether anything has come from the node; keys are seen at once.
 const LOOK: Duration = Duration::from_millis(50);
 /// How often it draws without anything new: ages go on.
 const REDRAW: Duration = Duration::from_secs(1);
+/// It has so long to end at a signal by itself.
+const INSIST: Duration = Duration::from_secs(1);
 
 /// How the console is run.
 #[derive(Debug, Clone)]
@@ -40,14 +43,26 @@
 /// If there is no terminal, or it has gone.
 pub fn run(options: &Options) -> io::Result<()> {
     let end = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGHUP, SIGINT] {
-        signal_hook::flag::register(signal, end.clone())?;
-    }
+    let (told, signals) = (end.clone(), Signals::new([SIGTERM, SIGHUP, SIGINT])?);
+    thread::spawn(move || obey(signals, &told));
     let link = Link::start(options.state.clone());
     take()?;
     with_restored(restore, || watch(options, &link, &end))
 }
 
+/// Has the console end at a signal, and ends it where it does not.
+///
+/// Guards against: a terminal that takes nothing, in which the last screen stands still, so that the console would outlast
+/// every signal but SIGKILL. Its screen can't be given back then, its mode can.
+fn obey(mut signals: Signals, end: &AtomicBool) {
+    if signals.forever().next().is_some() {
+        end.store(true, Ordering::Relaxed);
+        thread::sleep(INSIST);
+        restore_mode();
+        std::process::exit(1);
+    }
+}
+
 /// What is typed, from a thread of its own; it ends with the terminal.
 fn typed() -> Receiver<Vec<u8>> {
     let (to, typed) = channel();
--- a/crates/console/src/terminal.rs
+++ b/crates/console/src/terminal.rs
@@ -125,10 +125,15 @@
 
 /// Gives it back. A terminal that is gone can't be given back, and needs it no more.
 pub(crate) fn restore() {
-    let _ = disable_raw_mode();
+    restore_mode();
     let _ = execute!(io::stdout(), ResetColor, LeaveAlternateScreen, Show);
 }
 
+/// Gives back how it takes what is typed, which needs nothing to be written.
+pub(crate) fn restore_mode() {
+    let _ = disable_raw_mode();
+}
+
 #[cfg(test)]
 mod tests {
     use std::cell::Cell;
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -19,6 +19,7 @@
 mod section;
 
 use std::fmt::Display;
+use std::io::{self, Write};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -157,6 +158,7 @@
 }
 
 fn failed(error: impl Display) -> ExitCode {
-    eprintln!("lilacquay: {error}");
+    // Guards against: a panic where the terminal has gone.
+    let _ = writeln!(io::stderr(), "lilacquay: {error}");
     ExitCode::FAILURE
 }
--- a/crates/lilacquay/tests/common/tty.rs
+++ b/crates/lilacquay/tests/common/tty.rs
@@ -95,12 +95,39 @@
         self.master.resize(size(rows, cols)).unwrap();
     }
 
-    /// Takes nothing more of what is written, or takes it again.
-    pub fn block(&self, blocked: bool) {
-        self.seen.0.lock().unwrap().blocked = blocked;
+    /// Takes nothing more of what is written, and has it drawn anew until the console stands in the midst of a write.
+    pub fn block(&mut self) {
+        self.seen.0.lock().unwrap().blocked = true;
+        let (start, mut writing) = (Instant::now(), 0);
+        while writing < 5 {
+            self.press("\x0c");
+            thread::sleep(Duration::from_millis(10));
+            // What it waits for: with nothing to do, the next key (a futex).
+            let waits =
+                std::fs::read_to_string(format!("/proc/{}/wchan", self.child.process_id().unwrap())).unwrap();
+            writing = if waits != "0" && !waits.contains("futex") { writing + 1 } else { 0 };
+            assert!(start.elapsed() < PATIENCE, "it never blocks, but in {waits:?}");
+        }
+    }
+
+    /// Takes what is written again.
+    pub fn unblock(&self) {
+        self.seen.0.lock().unwrap().blocked = false;
         self.seen.1.notify_all();
     }
 
+    /// Waits for its end alone; tells whether it went well.
+    pub fn gone(&mut self) -> bool {
+        let start = Instant::now();
+        loop {
+            match self.child.try_wait().unwrap() {
+                Some(status) => return status.success(),
+                None => assert!(start.elapsed() < PATIENCE, "it goes on"),
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// What is on the screen.
     pub fn screen(&self) -> String {
         self.seen.0.lock().unwrap().parser.screen().contents()
--- a/crates/lilacquay/tests/console.rs
+++ b/crates/lilacquay/tests/console.rs
@@ -20,6 +20,9 @@
 /// What the settings allow between an order and the last thing sent, in microseconds, and what sockets take.
 const GRACE: u64 = 550_000;
 
+/// No bound on what is written, for terminals that are to be filled.
+const FAST: [&str; 2] = ["--bytes-per-second", "100000000"];
+
 /// A fleet and a node with a state folder.
 struct Site {
     fleet: Fleet,
@@ -206,6 +209,11 @@
         again.signal(signal);
         assert_eq!(again.ended(), (true, true), "{signal}");
     }
+    let mut blocked = Terminal::open(&site.state(), &FAST);
+    blocked.shows("3 of 3 serve");
+    blocked.block();
+    blocked.signal("-TERM");
+    assert!(!blocked.gone(), "its screen could not be given back");
     let plain = Terminal::open(&site.state(), &["--no-colour"]);
     plain.shows("3 of 3 serve");
     let colour = |raw: &[u8]| {
@@ -233,13 +241,12 @@
 fn consoles_that_stand_still_hold_up_nothing_and_show_nothing_old_when_they_go_on() {
     let site = Site::new(3);
     let (report, ()) = site.under_load(Duration::from_secs(8), || {
-        let mut consoles: Vec<Terminal> = (0..16).map(|_| site.console()).collect();
+        let mut consoles: Vec<Terminal> = (0..16).map(|_| Terminal::open(&site.state(), &FAST)).collect();
         consoles.iter().for_each(|console| _ = console.shows("3 of 3 serve"));
         let (stopped, blocked, going) = (0..6, 6..10, 10..16);
         consoles[stopped.clone()].iter().for_each(|console| console.signal("-STOP"));
         for console in &mut consoles[blocked.clone()] {
-            console.block(true);
-            (0..60).for_each(|_| console.press("\t")); // more to draw than the terminal's buffer takes
+            console.block();
         }
         thread::sleep(Duration::from_secs(5)); // what is tried is that time passes
         consoles[going].iter().for_each(|console| {
@@ -247,7 +254,7 @@
             assert!(!screen.contains("SILENT"), "{screen}");
         });
         consoles[stopped].iter().for_each(|console| console.signal("-CONT"));
-        consoles[blocked].iter().for_each(|console| console.block(false));
+        consoles[blocked].iter().for_each(|console| console.unblock());
         consoles
             .iter()
             .for_each(|console| _ = console.until("news", |s| s.contains("up ") && !s.contains("SILENT")));
