--- /dev/null
+++ b/crates/figures/src/lib.rs
@@ -0,0 +1,230 @@
+//! One book of counts of a node's work, always kept.
+//!
+//! A request counts once, at its end, whatever way it ends; what ends after its client has left counts nowhere.
+//! Whoever keeps the book has a [`Book`], cheap to clone; a count is one addition to a number in memory. Whoever
+//! reads it asks for a form: the operators' lines ([`Book::lines`]) or Prometheus' text ([`Book::prometheus`]).
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// What the operators' lines begin with.
+const PREFIX: &str = "edge_edge";
+
+/// How a request has ended, as its client sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With a value or a receipt.
+    Passed,
+    /// Refused: trying again is harmless.
+    Dropped,
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// A class's requests by their ends.
+#[derive(Default, Clone)]
+struct Ends {
+    passed: Counter,
+    dropped: Counter,
+    failed: Counter,
+}
+
+impl Ends {
+    fn of(&self, end: End) -> &Counter {
+        match end {
+            End::Passed => &self.passed,
+            End::Dropped => &self.dropped,
+            End::Failed => &self.failed,
+        }
+    }
+}
+
+/// The book. Clones are of one book.
+#[derive(Clone)]
+pub struct Book(Arc<Pages>);
+
+struct Pages {
+    /// By the classes' places in the settings.
+    classes: Vec<(String, Ends)>,
+    /// Requests that name no class.
+    unnamed: Ends,
+    tries: Counter,
+    in_progress: Gauge,
+    known: Gauge,
+    skipped: Gauge,
+    registry: Registry,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Of {
+    class: String,
+    end: &'static str,
+}
+
+/// What the book holds of all classes together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Requests that were served.
+    pub passed: u64,
+    /// Requests that were refused.
+    pub dropped: u64,
+    /// Requests that failed.
+    pub failed: u64,
+    /// Attempts written whole to caches.
+    pub tries: u64,
+}
+
+impl Book {
+    /// An empty book for classes with these names.
+    pub fn new(classes: Vec<String>) -> Book {
+        let mut registry = Registry::with_prefix("lilacquay");
+        let requests = Family::<Of, Counter>::default();
+        let ends = |class: &str| {
+            let of = |end| requests.get_or_create_owned(&Of { class: class.to_owned(), end });
+            Ends { passed: of("passed"), dropped: of("dropped"), failed: of("bad_gateway") }
+        };
+        let unnamed = ends("");
+        let classes = classes.into_iter().map(|name| (name.clone(), ends(&name))).collect();
+        let (tries, in_progress, known, skipped): (Counter, Gauge, Gauge, Gauge) = Default::default();
+        registry.register("requests", "Requests by class and end", requests);
+        registry.register("upstream_tries", "Attempts written whole to caches", tries.clone());
+        registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
+        registry.register("known_cache_servers", "Caches in the list", known.clone());
+        registry.register("skipped_cache_servers", "Listed caches that are avoided now", skipped.clone());
+        Book(Arc::new(Pages { classes, unnamed, tries, in_progress, known, skipped, registry }))
+    }
+
+    fn ends(&self, class: Option<usize>) -> &Ends {
+        class.and_then(|class| self.0.classes.get(class)).map_or(&self.0.unnamed, |(_, ends)| ends)
+    }
+
+    /// A request was taken.
+    pub fn taken(&self) {
+        self.0.in_progress.inc();
+    }
+
+    /// A request that was taken has ended, with nobody to tell if there is no `end`.
+    pub fn ended(&self, class: Option<usize>, end: Option<End>) {
+        self.0.in_progress.dec();
+        if let Some(end) = end {
+            self.ends(class).of(end).inc();
+        }
+    }
+
+    /// Counts attempts as they are written whole.
+    pub fn tries(&self) -> Tries {
+        Tries(self.0.tries.clone())
+    }
+
+    /// How many caches the list has, and how many of those are avoided now.
+    pub fn caches(&self, known: usize, skipped: usize) {
+        self.0.known.set(known as i64);
+        self.0.skipped.set(skipped as i64);
+    }
+
+    /// All classes together.
+    pub fn totals(&self) -> Totals {
+        let all = self.0.classes.iter().map(|(_, ends)| ends).chain([&self.0.unnamed]);
+        let mut totals = Totals { tries: self.0.tries.get(), ..Totals::default() };
+        for ends in all {
+            totals.passed += ends.passed.get();
+            totals.dropped += ends.dropped.get();
+            totals.failed += ends.failed.get();
+        }
+        totals
+    }
+
+    /// The operators' lines: `NAME:VALUE|c` for counts since the start, `|g` for what is now.
+    pub fn lines(&self) -> String {
+        let mut text = String::with_capacity(1024);
+        let unnamed = [("none", &self.0.unnamed)];
+        let named = self.0.classes.iter().map(|(name, ends)| (name.as_str(), ends));
+        let any = |ends: &Ends| ends.passed.get() + ends.dropped.get() + ends.failed.get() > 0;
+        for (class, ends) in named.chain(unnamed.into_iter().filter(|(_, ends)| any(ends))) {
+            for (end, count) in
+                [("passed", &ends.passed), ("dropped", &ends.dropped), ("bad_gateway", &ends.failed)]
+            {
+                put(&mut text, format_args!("handled.{class}.{end}"), count.get() as i64, 'c');
+            }
+        }
+        put(&mut text, format_args!("upstream_tries"), self.0.tries.get() as i64, 'c');
+        put(&mut text, format_args!("in_progress"), self.0.in_progress.get(), 'g');
+        put(&mut text, format_args!("known_cache_servers"), self.0.known.get(), 'g');
+        put(&mut text, format_args!("skipped_cache_servers"), self.0.skipped.get(), 'g');
+        text
+    }
+
+    /// Prometheus' text, in the OpenMetrics form.
+    pub fn prometheus(&self) -> String {
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.0.registry); // a string takes all
+        text
+    }
+}
+
+fn put(text: &mut String, name: std::fmt::Arguments, value: i64, kind: char) {
+    let _ = writeln!(text, "{PREFIX}.{name}:{value}|{kind}"); // a string takes all
+}
+
+/// Counts attempts written whole.
+#[derive(Clone)]
+pub struct Tries(Counter);
+
+impl Tries {
+    /// One more.
+    pub fn count(&self) {
+        self.0.inc();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_counts_once_under_its_class_and_end() {
+        let book = Book::new(vec!["read".into(), "put".into()]);
+        for (class, end) in [
+            (Some(0), Some(End::Passed)),
+            (Some(1), Some(End::Dropped)),
+            (Some(1), None),
+            (Some(9), Some(End::Failed)),
+        ] {
+            book.taken();
+            book.ended(class, end);
+        }
+        book.taken();
+        book.tries().count();
+        book.caches(12, 3);
+        let text = book.lines();
+        for line in [
+            "edge_edge.handled.read.passed:1|c",
+            "edge_edge.handled.read.dropped:0|c",
+            "edge_edge.handled.put.dropped:1|c",
+            "edge_edge.handled.put.passed:0|c",
+            "edge_edge.handled.none.bad_gateway:1|c",
+            "edge_edge.upstream_tries:1|c",
+            "edge_edge.in_progress:1|g",
+            "edge_edge.known_cache_servers:12|g",
+            "edge_edge.skipped_cache_servers:3|g",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+        }
+        assert_eq!(book.totals(), Totals { passed: 1, dropped: 1, failed: 1, tries: 1 });
+        let text = book.prometheus();
+        assert!(text.contains("lilacquay_requests_total{class=\"read\",end=\"passed\"} 1"), "{text}");
+        assert!(text.contains("lilacquay_in_progress 1"), "{text}");
+    }
+
+    #[test]
+    fn a_class_that_nobody_names_is_not_told() {
+        assert!(!Book::new(vec!["read".into()]).lines().contains("none"));
+    }
+}
--- /dev/null
+++ b/crates/life/tests/life.rs
@@ -0,0 +1,125 @@
+//! All orders of events and times to a stated depth: what may never be, is not.
+
+use lilacquay_life::{Bearing, Event, Life, Manner, Micros, Refused, State, Terms};
+
+const MS: Micros = 1_000;
+const TERMS: Terms = Terms {
+    accept_on: 500 * MS,
+    leave_softly: 300 * MS,
+    leave_idle: 1_500 * MS,
+    finish_idle: 500 * MS,
+    finish: 3_600 * MS,
+};
+const EVENTS: [Event; 6] = [
+    Event::Ready,
+    Event::Leave,
+    Event::Join,
+    Event::Stop { shared: false },
+    Event::Stop { shared: true },
+    Event::Empty,
+];
+/// What passes before an event.
+const STEPS: [Micros; 5] = [0, 299 * MS, 500 * MS, 1_500 * MS, 3_600 * MS];
+
+/// When a life was last told what, as whoever tells it sees it.
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    left: Option<Micros>,
+    stopped: Option<Micros>,
+    ready: bool,
+    ended: bool,
+}
+
+fn check(life: &Life, now: Micros, seen: Seen) {
+    let bearing = life.bearing(now);
+    if !seen.ready || seen.ended {
+        assert!(!bearing.accepts && !bearing.says_yes && !bearing.healthy, "{life:?} at {now}");
+    }
+    if seen.ready && !seen.ended && seen.left.is_none() && seen.stopped.is_none() {
+        let whole = Bearing { accepts: true, says_yes: true, healthy: true, ..Bearing::default() };
+        assert_eq!(bearing, whole, "in service");
+    }
+    if let (Some(left), None) = (seen.left, seen.stopped) {
+        assert!(!bearing.says_yes && bearing.accepts, "a front that asks is told no");
+        // What the operators hold to be idle 4 s after the call was closed long before.
+        assert!(now < left + 1_500 * MS || bearing.manner == Manner::Idle);
+    }
+    if let Some(stopped) = seen.stopped {
+        assert!(!bearing.accepts || now < stopped + 500 * MS, "none is taken beyond the bound");
+        assert!(now < stopped + 3_600 * MS || bearing.ended, "it ends by its time");
+        assert!(bearing.ended || bearing.manner > Manner::Stay, "nobody stays on at one that ends");
+    }
+    // Between now and the next change by time nothing changes.
+    if let Some(next) = life.next(now) {
+        assert!(next > now);
+        assert_eq!(life.bearing(next - 1), bearing, "{life:?}: nothing changes before {next}");
+    } else {
+        assert_eq!(life.bearing(now + 3_600_000 * MS), bearing, "{life:?}: nothing more changes");
+    }
+}
+
+fn explore(life: &Life, now: Micros, seen: Seen, depth: usize, states: &mut usize) {
+    check(life, now, seen);
+    *states += 1;
+    if depth == 0 {
+        return;
+    }
+    for step in STEPS {
+        for event in EVENTS {
+            let (mut life, now, mut seen) = (life.clone(), now + step, seen);
+            let before = life.clone();
+            let over = life.bearing(now).ended;
+            let told = life.on(now, event);
+            match event {
+                Event::Ready => seen.ready = true,
+                Event::Leave if told.is_ok() && seen.left.is_none() => seen.left = Some(now),
+                Event::Join if told.is_ok() => seen.left = None,
+                Event::Stop { .. } if !seen.ready => seen.ended = true,
+                Event::Stop { .. } if seen.stopped.is_none() => seen.stopped = Some(now),
+                _ => {}
+            }
+            if told.is_err() {
+                assert_eq!(life, before, "what is refused changes nothing");
+                assert!(matches!(event, Event::Leave | Event::Join));
+            }
+            assert!(!over || life.bearing(now).ended, "what is over stays so");
+            explore(&life, now, seen, depth - 1, states);
+        }
+    }
+}
+
+#[test]
+fn no_order_of_events_breaks_what_is_promised() {
+    let mut states = 0;
+    explore(&Life::new(TERMS), 7 * MS, Seen::default(), 4, &mut states);
+    assert!(states > 800_000, "{states}");
+}
+
+#[test]
+fn the_answers_that_are_stated() {
+    let mut life = Life::new(TERMS);
+    assert_eq!(life.on(0, Event::Leave), Err(Refused::Starting));
+    life.on(0, Event::Ready).unwrap();
+    life.on(10, Event::Leave).unwrap();
+    life.on(1_000_000, Event::Leave).unwrap();
+    assert_eq!(life.state(), State::Leaving(10), "to leave twice does not begin anew");
+    life.on(2_000_000, Event::Join).unwrap();
+    assert_eq!(life.state(), State::Serving);
+    life.on(3_000_000, Event::Stop { shared: true }).unwrap();
+    assert!(!life.bearing(3_000_000).accepts, "the other process takes connections");
+    assert!(life.bearing(3_000_000).says_yes, "the pair is in service");
+    assert_eq!(life.on(3_000_001, Event::Join), Err(Refused::Ending));
+    life.on(3_000_001, Event::Empty).unwrap();
+    assert_eq!(life.state(), State::Ended);
+}
+
+#[test]
+fn one_that_stops_alone_ends_only_once_it_takes_none() {
+    let mut life = Life::new(TERMS);
+    life.on(0, Event::Ready).unwrap();
+    life.on(0, Event::Stop { shared: false }).unwrap();
+    life.on(499 * MS, Event::Empty).unwrap();
+    assert!(!life.bearing(499 * MS).ended, "somebody may be on the way");
+    life.on(500 * MS, Event::Empty).unwrap();
+    assert!(life.bearing(500 * MS).ended);
+}
