--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -95,11 +95,7 @@
     }
 }
 
-async fn attend<H: Host>(
-    mut stream: TcpStream,
-    host: &H,
-    cleared: oneshot::Receiver<()>,
-) -> io::Result<()> {
+async fn attend<H: Host>(mut stream: TcpStream, host: &H, cleared: oneshot::Receiver<()>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let line = tokio::select! {
         biased;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -44,6 +44,8 @@
     Reload(oneshot::Sender<Outcome>),
     /// To log from this level on.
     Level(String, oneshot::Sender<Outcome>),
+    /// To leave service, or to be in service again.
+    Service(bool, oneshot::Sender<Outcome>),
     /// To answer what was taken, and end.
     Stop(oneshot::Sender<Outcome>),
 }
@@ -244,6 +246,8 @@
                 self.command(verb, |answer| Command::Level(level, answer)).await
             }
             Verb::Stop => self.command(verb, Command::Stop).await,
+            Verb::Leave => self.command(verb, |answer| Command::Service(false, answer)).await,
+            Verb::Join => self.command(verb, |answer| Command::Service(true, answer)).await,
             Verb::Diagnose => {
                 let outcome = self.bundle().await;
                 self.done(verb, outcome).await
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -59,6 +59,10 @@
     },
     /// To drain the node itself, as by SIGTERM: it answers all that it has taken, and ends.
     Stop,
+    /// To take the node itself out of service; it goes on running.
+    Leave,
+    /// To have it in service again.
+    Join,
     /// To write a bundle for whoever looks for a fault.
     Diagnose,
     /// To take a server out of service.
@@ -203,7 +207,9 @@
     pub fn order(&self) -> Option<Ask> {
         match self.clone() {
             Verb::Orders | Verb::Servers | Verb::Look | Verb::Watch { .. } | Verb::Events { .. } => None,
-            Verb::Reload | Verb::Level { .. } | Verb::Stop | Verb::Diagnose => None,
+            Verb::Reload | Verb::Level { .. } | Verb::Stop | Verb::Leave | Verb::Join | Verb::Diagnose => {
+                None
+            }
             Verb::Drain { server, seconds, lasting, force, seen } => {
                 let time = |seconds: u64| Order::LeaveOut(seconds.saturating_mul(1_000_000));
                 Some(Ask { server, order: seconds.map_or(Order::Drain, time), lasting, force, seen })
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lilacquay_figures::Tries;
 use paddlefold::setup::{Setup, micros};
 use paddlefold::{Member, MemberState, ServerId};
 use tokio::time::Instant;
@@ -43,6 +44,8 @@
     /// What lists have changed and was not yet taken.
     news: Vec<(String, News)>,
     servers: HashMap<ServerId, Server<C>>,
+    /// Counts attempts at caches.
+    tries: Tries,
     /// An idle connection is closed at this age: before the server does it ...
     idle_limit: Duration,
     /// ... and at this one, where a younger one is idle at the same server.
@@ -55,11 +58,11 @@
     /// Guards against: a server's table of connections that is full of what hundreds of nodes keep beyond the one
     /// that they need, so that those who have none are turned away. All nodes together keep no more to spare than a
     /// small fleet does.
-    pub fn new(keepalive: Duration, nodes: usize) -> Self {
+    pub fn new(keepalive: Duration, nodes: usize, tries: Tries) -> Self {
         let idle_limit = keepalive * 9 / 10;
         let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
         let (news, servers) = Default::default();
-        Directory { news, servers, idle_limit, spare_limit: idle_limit / nodes }
+        Directory { news, servers, tries, idle_limit, spare_limit: idle_limit / nodes }
     }
 
     /// Takes over a list; tells the module's view of its entries. Servers of which kinds of machine discard the
@@ -168,7 +171,8 @@
         }
         let Server { addr, origin, kind, standing, .. } = &*server;
         let (kind, standing) = (kind.clone(), standing.clone());
-        let target = Target { addr: *addr, origin: *origin, kind, standing };
+        let tries = (!*origin).then(|| self.tries.clone());
+        let target = Target { addr: *addr, origin: *origin, kind, standing, tries };
         Some((target, pooled))
     }
 
@@ -194,6 +198,12 @@
         }
     }
 
+    /// The caches, and whether each serves.
+    pub fn caches(&self) -> impl Iterator<Item = (ServerId, bool)> {
+        let caches = self.servers.iter().filter(|(_, server)| !server.origin);
+        caches.map(|(id, server)| (*id, server.standing.serving()))
+    }
+
     /// Of each server by name: its id, whether it serves, and how many connections rest there.
     pub fn by_name(&self) -> HashMap<&str, (ServerId, bool, usize)> {
         let entry =
@@ -256,7 +266,8 @@
         let addr = "127.0.0.1:1".parse().expect("an address");
         let (id, zone, kind, state) = ("s".to_owned(), "a".to_owned(), "m".to_owned(), State::Serving);
         let entry = Entry { id, addr, zone, kind, cell: 0, state, weight: None, started_ms: 0.0 };
-        let mut directory = Directory::new(KEEPALIVE, nodes);
+        let mut directory =
+            Directory::new(KEEPALIVE, nodes, lilacquay_figures::Book::new(Vec::new()).tries());
         let members = directory.apply(List { full: true, servers: vec![entry] }, &mut setup, |_| true);
         (directory, members[0].id, addr)
     }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use lilacquay_figures::{Book, End};
 use lilacquay_observe::{Kind, Snapshot};
 use lilacquay_quota::Ticket;
 use lilacquay_steer::{Ask, Done, Kept, Refusal};
@@ -39,6 +40,9 @@
 const LONGEST_TIMER: Duration = Duration::from_secs(86_400);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
+/// How often it is counted which caches are avoided, and for how many of them once in that time.
+const COUNT: Duration = Duration::from_millis(300);
+const COUNTED: u32 = 1000;
 /// Servers whose news is logged one by one; of more, the count.
 const NAMED: usize = 12;
 
@@ -100,6 +104,7 @@
     Module(TimerToken),
     Attempt(RequestId, usize),
     Sweep,
+    Count,
 }
 
 /// What a driver holds.
@@ -134,6 +139,8 @@
     pub memory: usize,
     /// Quotas, before the module.
     pub quotas: Option<Admission>,
+    /// What is counted of its work.
+    pub book: Book,
     /// Where operators may order servers away: the orders that lasted over a restart.
     pub steered: Option<Vec<Kept>>,
 }
@@ -213,6 +220,7 @@
     quotas: Option<Admission>,
     steering: Option<Steering>,
     watched: Watched,
+    book: Book,
     directory: Directory<U::Connection>,
     open: HashMap<RequestId, Open>,
     /// Attempts under way: each holds a connection, or is making one.
@@ -239,7 +247,12 @@
         let asked = settings.must_subscribe.then(|| subscribe.clone());
         let watched = Watched::new(clock, &options.setup.names);
         let mut driver = Driver {
-            directory: Directory::new(Duration::from_micros(settings.keepalive), settings.nodes),
+            directory: Directory::new(
+                Duration::from_micros(settings.keepalive),
+                settings.nodes,
+                options.book.tries(),
+            ),
+            book: options.book,
             balancer: Balancer::new(settings, options.seed, clock.now()),
             setup: options.setup,
             quotas: options.quotas,
@@ -260,9 +273,11 @@
             attempts,
         };
         driver.timers.insert(Due::Sweep, SWEEP);
+        driver.timers.insert(Due::Count, COUNT);
         driver.list(List { full: true, ..options.known });
         driver.directory.take_news(); // what is known from the start is none
         driver.decide();
+        driver.count();
         let (requests, orders) = (Requests::new(to.clone(), options.memory), Orders(to.clone()));
         (driver, Handles { requests, members: Members { to, source: "configuration", asked }, orders })
     }
@@ -340,7 +355,26 @@
                 self.directory.sweep(Instant::now());
                 self.timers.insert(Due::Sweep, SWEEP);
             }
+            Due::Count => {
+                let known = self.count();
+                let pause = COUNT * (1 + u32::try_from(known).unwrap_or(u32::MAX) / COUNTED);
+                self.timers.insert(Due::Count, pause);
+            }
+        }
+    }
+
+    /// Counts the caches of the list, and those of them that get nothing now but perhaps a try: drained, or left out
+    /// by the module. Tells how many there are.
+    fn count(&self) -> usize {
+        let (mut known, mut skipped) = (0, 0);
+        for (id, serves) in self.directory.caches() {
+            known += 1;
+            let left_out =
+                || self.balancer.server(id).is_some_and(|view| view.cut_off || view.silent.is_some());
+            skipped += usize::from(!serves || left_out());
         }
+        self.book.caches(known, skipped);
+        known
     }
 
     /// Tells the module what has happened, and does what it asks for, until nothing is left.
@@ -400,10 +434,12 @@
         let discards = |kind: &str| self.upstream.discards_repeats(kind);
         let members = self.directory.apply(list, &mut self.setup, discards);
         self.events.push_back(Event::Members { scope, members });
+        self.count();
     }
 
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { id, call, at, answer } = arrival;
+        self.book.taken();
         let ticket = match &mut self.quotas {
             None => None,
             Some(quotas) => match quotas.ask(self.clock.now(), &call, &self.setup.settings) {
@@ -411,6 +447,7 @@
                 // Over its share: at once, as what the module refuses.
                 Err(wait) => {
                     self.watched.over_share(call.tenant);
+                    self.book.ended(call.class, Some(End::Dropped));
                     let wait = wait.min(self.setup.settings.max_retry_after);
                     return drop(answer.send(Answer::Busy(wait))); // the client may have left
                 }
@@ -439,6 +476,7 @@
         if let Some(open) = self.open.get_mut(&id) {
             if open.answer.take().is_some() {
                 self.watched.answered(id, Kind::Gone, || &open.call.key);
+                self.book.ended(open.call.class, None);
             }
             self.events.push_back(Event::ClientGone(id));
             self.close_if_done(id);
@@ -451,6 +489,7 @@
             && let Some(sender) = open.answer.take()
         {
             self.watched.answered(id, kind(&answer), || &open.call.key);
+            self.book.ended(open.call.class, Some(end(&answer)));
             let _ = sender.send(answer); // the client may have left
         }
         self.close_if_done(id);
@@ -550,6 +589,7 @@
             && let Some(sender) = open.answer.take()
         {
             self.watched.answered(id, Kind::Served, || &open.call.key);
+            self.book.ended(open.call.class, Some(End::Passed));
             let _ = sender.send(Answer::Served(reply.made)); // the client may have left
         }
         self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
@@ -571,6 +611,14 @@
     }
 }
 
+fn end(answer: &Answer) -> End {
+    match answer {
+        Answer::Served(_) => End::Passed,
+        Answer::Busy(_) => End::Dropped,
+        Answer::Failed => End::Failed,
+    }
+}
+
 /// What a list has changed.
 fn log_news(news: &[(String, News)]) {
     if news.len() > NAMED {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use lilacquay_figures::Tries;
 use paddlefold::Outcome;
 
 use crate::call::{Call, Made};
@@ -51,6 +52,17 @@
     /// Its kind of machine, by name.
     pub kind: Arc<str>,
     pub(crate) standing: Standing,
+    /// Counts attempts; not for the origin.
+    pub(crate) tries: Option<Tries>,
+}
+
+impl Target {
+    /// Tells that an attempt has been written whole.
+    pub fn written(&self) {
+        if let Some(tries) = &self.tries {
+            tries.count();
+        }
+    }
 }
 
 /// Whether a server may be sent anything new; shared with the attempts under way.
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use lilacquay_core::{Gauges, Requests};
+use lilacquay_life::Bearing;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{Instant, timeout};
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::warn;
 
@@ -52,23 +52,37 @@
     pub(crate) left: Notify,
     /// Places for buffers that are not small.
     pub(crate) large: Arc<Semaphore>,
-    /// Set when connections are to be closed between requests.
-    pub(crate) closing: CancellationToken,
+    /// What the node does now: whether it takes connections, and when those it has are closed.
+    pub(crate) bearing: watch::Receiver<Bearing>,
     sessions: TaskTracker,
 }
 
 impl Hall {
-    /// A hall without guests.
-    pub fn new(requests: Requests, bounds: Bounds) -> Self {
+    /// A hall without guests, of a node with this bearing.
+    pub fn new(requests: Requests, bounds: Bounds, bearing: watch::Receiver<Bearing>) -> Self {
         let large = Arc::new(Semaphore::new((bounds.memory / LARGE).max(1)));
         // Clients may hold a third of the descriptors: some of it stays free for their next connections.
         let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
-        let (left, closing, sessions) = Default::default();
-        Hall(Arc::new(Shared { requests, bounds, seats, left, large, closing, sessions }))
+        let (left, sessions) = Default::default();
+        Hall(Arc::new(Shared { requests, bounds, seats, left, large, bearing, sessions }))
     }
 
-    /// Takes connections until it is dropped, each with a protocol of its own.
+    /// Takes connections for as long as the node takes any, each with a protocol of its own: from when it is ready
+    /// until it ends. The listener is closed then.
     pub async fn accept<P: Protocol>(self, listener: TcpListener, protocol: impl Fn() -> P) {
+        let mut bearing = self.0.bearing.clone();
+        // Whoever tells the bearing may have gone: then it stays as it was.
+        if bearing.wait_for(|now| now.accepts || now.ended).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            biased;
+            _ = bearing.wait_for(|now| !now.accepts) => {}
+            () = self.take(listener, protocol) => {}
+        }
+    }
+
+    async fn take<P: Protocol>(&self, listener: TcpListener, protocol: impl Fn() -> P) {
         loop {
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
@@ -90,9 +104,8 @@
         }
     }
 
-    /// Closes all connections between requests; waits until the last is closed.
-    pub async fn close(&self) {
-        self.0.closing.cancel();
+    /// Waits until no connection is left, once none is taken any more.
+    pub async fn emptied(&self) {
         self.0.sessions.close();
         self.0.sessions.wait().await;
     }
--- a/crates/fronts/src/protocol.rs
+++ b/crates/fronts/src/protocol.rs
@@ -42,6 +42,13 @@
         /// Whether the command was one that the protocol knows, used as it should be.
         good: bool,
     },
+    /// Asks whether the node takes clients; answered in its turn with one of these texts.
+    Asks {
+        /// If it does.
+        yes: BytesMut,
+        /// If it does not, or not for long.
+        no: BytesMut,
+    },
     /// The client asks for a close once all before it is answered and this text is written.
     Quit(BytesMut),
 }
--- a/crates/fronts/src/resp.rs
+++ b/crates/fronts/src/resp.rs
@@ -26,7 +26,10 @@
         let (get, set) = (name.eq_ignore_ascii_case(b"CACHE.GET"), name.eq_ignore_ascii_case(b"CACHE.SET"));
         let (key, id, facts, value) = match rest {
             [] if name.eq_ignore_ascii_case(b"PING") => {
-                return Ok(said(true, |text| put_simple(text, "PONG")));
+                let (mut yes, mut no) = (BytesMut::new(), BytesMut::new());
+                put_simple(&mut yes, "PONG");
+                put_error(&mut no, format_args!("ERR leaving"));
+                return Ok(Input::Asks { yes, no });
             }
             [key, id, facts] if get => (key, id, facts, None),
             [key, id, facts, value] if set => (key, id, facts, Some(value.clone())),
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -10,6 +10,7 @@
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, Pending, VALUE_LIMIT};
+use lilacquay_life::Manner;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
@@ -35,11 +36,27 @@
 const SMALL: usize = 8 << 10;
 /// A connection that has had nothing good to say for so long is closed: silent, or in the midst of a command.
 const PATIENCE: Duration = Duration::from_millis(2500);
+/// What is on its way on a new connection has come after so long.
+const NEW: Duration = Duration::from_millis(300);
+/// Where connections between requests are to be closed, one that has always something more to say is closed all the
+/// same after so long.
+const LAST_WORDS: Duration = Duration::from_secs(1);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
 /// A client that takes no byte of its answers for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
 
+/// When a connection is closed because the node takes leave of it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum When {
+    Not,
+    AtOnce,
+    /// If nothing more has come by now.
+    Unheard,
+    /// Once what is on its way from a new client must have come.
+    Known,
+}
+
 /// An answer that is owed, in the order of the commands.
 enum Owed<R> {
     Ready(BytesMut),
@@ -60,6 +77,10 @@
     heard: bool,
     /// Whether it has ever had a request. Guards against: crowds that ask whether the node is there, and stay.
     asked: bool,
+    /// When it came.
+    born: Instant,
+    /// Since when connections without a request are to be closed.
+    unwanted: Option<Instant>,
     /// Since when nothing good has come: its start, its last answer, or a command's first byte.
     since: Instant,
     /// Whether the buffer may hold another whole command.
@@ -83,6 +104,8 @@
             open: 0,
             heard: false,
             asked: false,
+            born: now,
+            unwanted: None,
             since: now,
             more: false,
             broken: None,
@@ -101,21 +124,23 @@
     async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let (mut reader, mut writer) = stream.split();
-        let (closing, large) = (self.hall.closing.clone(), self.hall.large.clone());
-        let mut seat = None;
+        let (mut bearing, large) = (self.hall.bearing.clone(), self.hall.large.clone());
+        let (mut seat, mut just_answered) = (None, false);
         loop {
             let unowed = self.owed.is_empty();
-            let stopping = closing.is_cancelled();
-            if unowed && (self.broken.is_some() || self.quits || stopping && self.buffer.is_empty()) {
+            let manner = bearing.borrow_and_update().manner;
+            let parting = self.parting(manner, unowed, just_answered);
+            if unowed && (self.broken.is_some() || self.quits) || parting == When::AtOnce {
                 return writer.shutdown().await;
             }
+            just_answered = false;
             let guest = unowed.then(|| self.guest());
             if guest != seat.as_ref().map(Seat::guest) {
                 seat = guest.map(|guest| self.hall.seats.take(guest, self.since));
             }
             // Guards against: a client that always has a command under way and so keeps a node that is to
             // stop until it is killed with something unanswered. What is not read, the client sends again.
-            let reading = self.may_begin() && !self.more && (!stopping || unowed);
+            let reading = self.may_begin() && !self.more && (manner == Manner::Stay || unowed);
             let roomy = self.buffer.len() < SMALL || self.large.is_some();
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
@@ -136,9 +161,13 @@
                     let text = self.answers(owed, answer);
                     timeout(STUCK, writer.write_all(&text)).await??;
                     self.since = Instant::now();
+                    just_answered = true;
                 }
                 () = yield_now(), if self.more => {}
-                () = closing.cancelled(), if !stopping => {}
+                // Only once nothing has come: what has is read first.
+                () = yield_now(), if parting == When::Unheard => return writer.shutdown().await,
+                () = sleep_until(self.born + NEW), if parting == When::Known => {}
+                Ok(()) = bearing.changed() => {}
                 () = sleep_until(give_up_at), if may_give_up => {
                     let mut text = BytesMut::new();
                     self.protocol.part(Parting::Silent, &mut text);
@@ -151,6 +180,27 @@
         }
     }
 
+    /// Whether the connection is to be closed, the way the node goes.
+    ///
+    /// Guards against: a request that is closed on, unread, though it had come already.
+    fn parting(&mut self, manner: Manner, unowed: bool, just_answered: bool) -> When {
+        let now = Instant::now();
+        if manner < Manner::Idle {
+            self.unwanted = None;
+        }
+        if !unowed || !self.buffer.is_empty() {
+            return When::Not;
+        }
+        match manner {
+            Manner::Stay => When::Not,
+            Manner::BehindAnswer if just_answered && self.asked => When::Unheard,
+            Manner::BehindAnswer => When::Not,
+            Manner::Idle if !self.heard && now < self.born + NEW => When::Known,
+            Manner::Idle if now >= *self.unwanted.get_or_insert(now) + LAST_WORDS => When::AtOnce,
+            Manner::Idle => When::Unheard,
+        }
+    }
+
     fn guest(&self) -> Guest {
         match (self.buffer.is_empty(), self.asked) {
             (false, _) => Guest::Sending,
@@ -231,6 +281,10 @@
                     self.heard |= good;
                     Owed::Ready(text)
                 }
+                Ok(Some(Input::Asks { yes, no })) => {
+                    self.heard = true;
+                    Owed::Ready(if self.hall.bearing.borrow().says_yes { yes } else { no })
+                }
                 Ok(Some(Input::Quit(text))) => {
                     self.quits = true;
                     self.buffer.clear();
--- a/crates/life/src/lib.rs
+++ b/crates/life/src/lib.rs
@@ -72,6 +72,8 @@
     },
     /// No connection is left, and none is taken any more.
     Empty,
+    /// What it serves with has failed.
+    Fail,
 }
 
 /// What is done about a client's connection.
@@ -146,6 +148,7 @@
     /// If it can't be done in this state; nothing has changed then.
     pub fn on(&mut self, now: Micros, event: Event) -> Result<(), Refused> {
         self.state = match (self.state, event) {
+            (_, Event::Fail) => State::Ended,
             (State::Starting, Event::Ready) => State::Serving,
             (State::Starting, Event::Leave | Event::Join) => return Err(Refused::Starting),
             (State::Starting, Event::Stop { .. }) => State::Ended,
@@ -169,9 +172,7 @@
         let past = |since: Micros, term: Micros| now >= since.saturating_add(term);
         match self.state {
             State::Starting => Bearing::default(),
-            State::Serving => {
-                Bearing { accepts: true, says_yes: true, healthy: true, ..Bearing::default() }
-            }
+            State::Serving => Bearing { accepts: true, says_yes: true, healthy: true, ..Bearing::default() },
             // It listens on: fronts ask for it, and it may join again.
             State::Leaving(since) => {
                 let manner = match (past(since, leave_softly), past(since, leave_idle)) {
@@ -182,7 +183,7 @@
                 Bearing { accepts: true, manner, ..Bearing::default() }
             }
             State::Finishing { since, .. } if past(since, finish) => {
-                Bearing { ended: true, ..Bearing::default() }
+                Bearing { ended: true, manner: Manner::Idle, ..Bearing::default() }
             }
             State::Finishing { since, shared } => Bearing {
                 accepts: !shared && !past(since, accept_on),
@@ -191,7 +192,7 @@
                 manner: if past(since, finish_idle) { Manner::Idle } else { Manner::BehindAnswer },
                 ..Bearing::default()
             },
-            State::Ended => Bearing { ended: true, ..Bearing::default() },
+            State::Ended => Bearing { ended: true, manner: Manner::Idle, ..Bearing::default() },
         }
     }
 
--- /dev/null
+++ b/crates/lilacquay/src/admin.rs
@@ -0,0 +1,46 @@
+//! What the second address answers: the node's life and its figures.
+
+use lilacquay_admin::Host;
+use lilacquay_admin::call::{Answer, Call};
+use lilacquay_control::{Folder, Verb};
+use lilacquay_figures::Book;
+use lilacquay_life::Event;
+use tracing::{info, warn};
+
+use crate::keeper::Keeper;
+
+/// All that a call needs is in memory: none waits for the core.
+pub struct Desk {
+    pub keeper: Keeper,
+    pub book: Book,
+    /// Whether figures are told in Prometheus' text.
+    pub prometheus: bool,
+    /// Where orders are recorded, if the node has a state folder.
+    pub audit: Option<Folder>,
+}
+
+impl Host for Desk {
+    fn answer(&self, call: Call) -> Answer {
+        match call {
+            Call::Health if self.keeper.bearing().borrow().healthy => Answer::Yes,
+            Call::Health => Answer::No(format!("the node is {}", self.keeper.state())),
+            Call::Dump if self.prometheus => Answer::Figures(self.book.prometheus()),
+            Call::Dump => Answer::Figures(self.book.lines()),
+            Call::Leave => self.order(call, Verb::Leave, Event::Leave),
+            Call::Join => self.order(call, Verb::Join, Event::Join),
+        }
+    }
+}
+
+impl Desk {
+    fn order(&self, call: Call, verb: Verb, event: Event) -> Answer {
+        let told = self.keeper.tell(event);
+        let outcome = told.map_or_else(|why| why.to_string(), |()| "obeyed".into());
+        info!("{} on the second address: {outcome}", call.word());
+        let record = |folder: &Folder| folder.audit(&verb, &outcome);
+        if let Some(Err(error)) = self.audit.as_ref().map(record) {
+            warn!("an order is not recorded: {error}; make room in the state folder");
+        }
+        told.map_or_else(|_| Answer::No(outcome), |()| Answer::Yes)
+    }
+}
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -48,6 +48,10 @@
     Reload(ControlArgs),
     /// Have a running node log more or less: error, warn, info, debug or trace
     Level(LevelArgs),
+    /// Take a running node itself out of service: it tells fronts no and closes resting connections, and runs on
+    Leave(ControlArgs),
+    /// Have a node that has left be in service again
+    Join(ControlArgs),
     /// Drain a running node itself: it answers all that it has taken, and ends
     Stop(ControlArgs),
     /// Have a running node write a bundle for whoever looks for a fault
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -1,14 +1,16 @@
 //! What a node is told at its start: the platform's JSON file, the environment, and the options of `serve`.
 
 use std::env::{self, VarError};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::RawFd;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::{fmt, fs};
+use std::{fmt, fs, io};
 
 use lilacquay_core::{Gauges, List};
 use lilacquay_etcd::Settings;
 use lilacquay_fronts::Bounds;
+use lilacquay_inherit::{PassedError, number};
 use lilacquay_members::discovery::Told;
 use paddlefold::setup::{Setup, Stated};
 use serde::Deserialize;
@@ -25,6 +27,10 @@
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
 const RESERVED: usize = 24;
+/// Descriptors of a second address: its listener and its callers.
+const ADMIN: usize = lilacquay_admin::SEATS + 1;
+/// Names the descriptor of the listening socket, where the platform holds that.
+const PASSED: &str = "EDGE_PASSED_SOCKET";
 /// Where the configuration sets no limit.
 const SOCKETS: usize = 1024;
 const MEMORY_MB: usize = 192;
@@ -53,6 +59,12 @@
 /// What a node is told.
 pub struct Config {
     pub listen: SocketAddr,
+    /// The listening socket, where the platform holds it.
+    pub passed: Option<Passed>,
+    /// The second address, for whoever runs the node.
+    pub admin: Option<SocketAddr>,
+    /// Whether the figures there are Prometheus' text.
+    pub prometheus: bool,
     /// Where discovery is; without it there is etcd.
     pub discovery: Option<SocketAddr>,
     /// The list of servers from etcd.
@@ -83,11 +95,28 @@
     pub quota: Option<Quota>,
 }
 
+/// A listening socket that the platform holds and passes.
+pub struct Passed(RawFd);
+
+impl Passed {
+    /// The socket, which must listen where the node is told to.
+    ///
+    /// # Errors
+    /// If the descriptor is no such socket.
+    pub fn listener(&self, told: SocketAddr) -> io::Result<TcpListener> {
+        lilacquay_inherit::listener(self.0, told).map_err(|why| io::Error::other(format!("{PASSED}: {why}")))
+    }
+}
+
 /// Why a node cannot start.
 #[derive(Debug)]
 pub enum ConfigError {
     /// An environment variable that is needed, or a key of that name in the file.
     Missing(&'static str),
+    /// The second address is the first.
+    SameAddress(SocketAddr),
+    /// A variable that names no descriptor.
+    Passed(PassedError),
     /// An environment variable that is no address.
     Address(&'static str, String),
     /// Mistakes in a file of this source.
@@ -99,6 +128,10 @@
         match self {
             ConfigError::Missing(name) => write!(f, "{name} is not set"),
             ConfigError::Address(name, text) => write!(f, "{name}: {text:?} is no address with a port"),
+            ConfigError::SameAddress(at) => {
+                write!(f, "admin is {at}, as listen is; give it a port of its own")
+            }
+            ConfigError::Passed(why) => write!(f, "{PASSED}: {why}"),
             ConfigError::Mistakes(source, mistakes) => f.write_str(&one_line(source, mistakes)),
         }
     }
@@ -108,6 +141,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -126,6 +160,7 @@
 struct Read {
     listen: Option<SocketAddr>,
     discovery: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
     seed: u64,
     limits: Limits,
     known: Told,
@@ -171,6 +206,7 @@
             address.and_then(Result::ok)
         };
         let (listen, discovery) = (address("listen", &file.listen), address("discovery", &file.discovery));
+        let admin = address("admin", &file.admin);
         let seed = u64::from_str_radix(&file.seed, 16);
         if seed.is_err() {
             let what = format!("bad seed {:?}", file.seed);
@@ -185,7 +221,7 @@
             mistakes.at(place(text, "Effect"), "settings.Classes", error.to_string(), mend);
         });
         let (seed, setup) = (seed.ok()?, setup.ok()?);
-        Some(Read { listen, discovery, seed, limits: file.limits, known: file.known, setup })
+        Some(Read { listen, discovery, admin, seed, limits: file.limits, known: file.known, setup })
     }
 }
 
@@ -291,8 +327,25 @@
             Err(ConfigError::Missing(_)) if etcd.is_some() || fixed => None,
             other => Some(other?),
         };
+        let listen = address("EDGE_LISTEN", said.map(|said| said.listen), read.listen)?;
+        let admin = match address("EDGE_ADMIN", said.map(|said| said.admin), read.admin) {
+            Err(ConfigError::Missing(_)) => None,
+            other => Some(other?),
+        };
+        if admin.is_some_and(|admin| admin == listen && listen.port() != 0) {
+            return Err(ConfigError::SameAddress(listen));
+        }
+        // The platform alone passes a socket; a file of options names an address to bind.
+        let passed = match source {
+            Source::Platform => variable(PASSED)?,
+            Source::Options(_) | Source::Appliance(_) => None,
+        };
+        let passed = passed.map(|text| number(&text)).transpose().map_err(ConfigError::Passed)?;
         Ok(Config {
-            listen: address("EDGE_LISTEN", said.map(|said| said.listen), read.listen)?,
+            listen,
+            passed: passed.map(Passed),
+            admin,
+            prometheus: said.is_some_and(|said| said.prometheus),
             discovery,
             etcd: etcd.map(|(settings, etcd)| (etcd, settings)),
             memcached,
@@ -371,7 +424,7 @@
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
     /// for those to come.
     pub fn client_bounds(&self, gauges: Arc<Gauges>) -> Bounds {
-        let with_servers = self.sockets - RESERVED - self.sockets / 8;
+        let with_servers = (self.sockets - self.sockets / 8).saturating_sub(self.reserved());
         Bounds { connections: self.sockets / 3, with_servers, gauges, memory: self.request_memory() }
     }
 
@@ -382,7 +435,11 @@
 
     /// Most connections to servers.
     pub fn server_connections(&self) -> usize {
-        self.sockets - RESERVED - self.sockets / 3
+        (self.sockets - self.sockets / 3).saturating_sub(self.reserved()).max(1)
+    }
+
+    fn reserved(&self) -> usize {
+        RESERVED + if self.admin.is_some() { ADMIN } else { 0 }
     }
 }
 
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -1,5 +1,6 @@
 //! One cache-proxy node, and the tools beside it: see `cli`.
 
+mod admin;
 mod appliance;
 mod check;
 mod cli;
@@ -7,6 +8,7 @@
 mod control;
 mod etcd;
 mod fleet;
+mod keeper;
 mod load;
 mod logging;
 mod members;
@@ -47,6 +49,8 @@
         Some(Command::Events(args)) => control::events(&args),
         Some(Command::Reload(args)) => control::node(&args, Verb::Reload),
         Some(Command::Level(args)) => control::level(args),
+        Some(Command::Leave(args)) => control::node(&args, Verb::Leave),
+        Some(Command::Join(args)) => control::node(&args, Verb::Join),
         Some(Command::Stop(args)) => control::node(&args, Verb::Stop),
         Some(Command::Diagnose(args)) => control::node(&args, Verb::Diagnose),
         Some(Command::Orders(args)) => control::orders(&args),
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use lilacquay_admin::Admin;
 use lilacquay_control::{Command, Control, Folder, Host, Outcome};
 use lilacquay_core::{Driver, Handles, List, Members, Options, Orders};
 use lilacquay_etcd::Settings;
+use lilacquay_figures::Book;
 use lilacquay_fronts::Hall;
 use lilacquay_fronts::resp::Resp;
+use lilacquay_life::Event;
 use lilacquay_members::{discovery, etcd};
 use lilacquay_upstreams::Servers;
 use paddlefold::setup::Names;
@@ -17,24 +20,21 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 use tracing::{info, warn};
 
+use crate::admin::Desk;
 use crate::config::{Config, Source};
 use crate::etcd::Etcd;
+use crate::keeper::Keeper;
 use crate::logging::Logging;
 use crate::memcached::Memcached;
 use crate::quota::Quota;
 use crate::restart::keep;
 
-/// After word to stop, connections that were on their way are still taken for so long.
-const STILL_ACCEPTING: Duration = Duration::from_millis(500);
-/// What was taken is answered within the longest deadline, of which the platform grants so much ...
-const LONGEST_GRANTED: Duration = Duration::from_secs(3);
-/// ... and so much more: it grants 0.7 s.
+/// A core that has failed has answered all as failed; its connections have so long to say so.
 const LAST_WRITES: Duration = Duration::from_millis(600);
-
 /// Orders on the node that wait to be carried out.
 const COMMANDS: usize = 16;
 
@@ -69,8 +69,16 @@
     let reload = signal(SignalKind::hangup())?;
     let state = config.control.as_deref().map(Folder::new).transpose().map_err(of_state)?;
     let steered = state.as_ref().map(Folder::orders).transpose().map_err(of_state)?;
-    let listener = bind(config.listen).await?;
-    let longest = Duration::from_micros(config.setup.longest_deadline).min(LONGEST_GRANTED);
+    let listener = match &config.passed {
+        Some(passed) => TcpListener::from_std(passed.listener(config.listen)?)?,
+        None => bind(config.listen).await?,
+    };
+    let second = match config.admin {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    let keeper = Keeper::new(Duration::from_micros(config.setup.longest_deadline), config.passed.is_some());
+    let book = Book::new(config.setup.names.all_classes());
     let (connections, memory) = (config.server_connections(), config.request_memory());
     let known = config.known.list.clone();
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
@@ -81,6 +89,7 @@
         connections,
         memory,
         quotas,
+        book: book.clone(),
         steered,
     };
     let names = config.setup.names.clone();
@@ -88,7 +97,7 @@
     let servers = Servers::new(kinds.unwrap_or_default());
     let (driver, Handles { requests, members, orders }) = Driver::new(options, servers);
     let gauges = driver.gauges();
-    let hall = Hall::new(requests, config.client_bounds(gauges.clone()));
+    let hall = Hall::new(requests, config.client_bounds(gauges.clone()), keeper.bearing());
     let mut fronts = Vec::new();
     for listener in config.memcached.iter().flat_map(|(_, ready)| &ready.listeners) {
         fronts.push((bind(listener.address).await?, listener));
@@ -97,6 +106,7 @@
     // All of it ends with this function, so that a core that has failed leaves nothing behind.
     let mut parts = JoinSet::new();
     let (to_node, commands) = mpsc::channel(COMMANDS);
+    let audit = state.clone();
     if let Some(state) = state {
         let host = Host {
             events: logging.events.clone(),
@@ -120,9 +130,13 @@
         }));
     }
     info!("listening on {}", listener.local_addr()?);
+    if let Some(second) = second {
+        info!("the second address is {}", second.local_addr()?);
+        let desk = Desk { keeper: keeper.clone(), book, prometheus: config.prometheus, audit };
+        parts.spawn(Admin::new(second, desk).run());
+    }
     let followed = Followed::start(members, orders, &config, &mut parts);
-    let (to_stop, mut stopped) = mpsc::channel(1);
-    let told = Told { commands, to_stop, logging };
+    let told = Told { commands, keeper: keeper.clone(), logging };
     let told = told.follow(followed, reload, source);
     tokio::pin!(told);
     let mut accepting = JoinSet::new();
@@ -133,23 +147,31 @@
         let front = listener.front(gauges.clone(), nonce);
         accepting.spawn(hall.clone().accept(bound, move || front.connection()));
     }
-    let ended = tokio::select! {
-        _ = stop.recv() => Ok(()),
-        _ = stopped.recv() => Ok(()),
-        () = &mut told => Ok(()),
-        ended = &mut driver => Err(format!("{ended:?}")),
-        Some(ended) = accepting.join_next() => Err(format!("a listener ended: {ended:?}")),
+    let _ = keeper.tell(Event::Ready); // refused only where it is told to stop already
+    let mut bearing = keeper.bearing();
+    let ended = loop {
+        // Whoever is accepted by then is in the hall before it can be seen to be empty.
+        let taking = bearing.borrow_and_update().accepts;
+        tokio::select! {
+            _ = stop.recv() => keeper.stop(),
+            () = &mut told => {}
+            () = keeper.follow() => break Ok(()), // what is not answered by now can't be
+            ended = &mut driver => break Err(format!("{ended:?}")),
+            Some(ended) = accepting.join_next() => if keeper.bearing().borrow().accepts {
+                break Err(format!("a listener ended: {ended:?}"));
+            },
+            Ok(()) = bearing.changed() => {}
+            () = hall.emptied(), if !taking && accepting.is_empty() => {
+                let _ = keeper.tell(Event::Empty); // never refused
+            }
+        }
     };
     if let Err(what) = ended {
+        let _ = keeper.tell(Event::Fail); // never refused
         accepting.shutdown().await;
-        let _ = timeout_at(Instant::now() + LAST_WRITES, hall.close()).await; // what is owed fails with the core
+        let _ = timeout_at(Instant::now() + LAST_WRITES, hall.emptied()).await; // what is owed fails with the core
         return Err(Failure::Core(what));
     }
-    info!("ending: what has been taken is answered");
-    let last = Instant::now() + longest + LAST_WRITES;
-    sleep(STILL_ACCEPTING).await;
-    accepting.shutdown().await; // the listeners are closed with it
-    let _ = timeout_at(last, hall.close()).await; // what is not answered by then can't be
     Ok(())
 }
 
@@ -174,7 +196,7 @@
 /// What a node is told while it runs: signals, and operators' orders.
 struct Told<'a> {
     commands: mpsc::Receiver<Command>,
-    to_stop: mpsc::Sender<()>,
+    keeper: Keeper,
     logging: &'a Logging,
 }
 
@@ -192,10 +214,18 @@
                         let set = self.logging.set_level(&level);
                         let _ = answer.send(set.map(|()| format!("logs from {level} on")));
                     }
+                    Command::Service(joins, answer) => {
+                        let (event, what) = match joins {
+                            true => (Event::Join, "the node is in service"),
+                            false => (Event::Leave, "the node leaves service and runs on"),
+                        };
+                        let told = self.keeper.tell(event);
+                        let _ = answer.send(told.map(|()| what.into()).map_err(|why| why.to_string()));
+                    }
                     Command::Stop(answer) => {
                         let what = "the node drains: it answers what it has taken, and ends";
                         let _ = answer.send(Ok(what.into()));
-                        let _ = self.to_stop.try_send(()); // told before
+                        self.keeper.stop();
                     }
                 },
             }
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -21,6 +21,10 @@
     pub listen: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: Option<SocketAddr>,
+    /// The second address, for whoever runs the node.
+    pub admin: Option<SocketAddr>,
+    /// Whether its figures are Prometheus' text.
+    pub prometheus: bool,
     /// Descriptors that the process may hold.
     pub sockets: Option<usize>,
     /// Memory that it may take.
@@ -58,7 +62,18 @@
     fn parse(file: &Path, text: &str, mistakes: &mut Mistakes) -> Option<(Options, Named)> {
         let table = section::parse(text, "deploy/serve.toml", mistakes)?;
         let mut root = Section::root(&table, mistakes);
-        root.only(&["node", "resp", "discovery", "limits", "etcd", "memcached", "quota", "control", "log"]);
+        root.only(&[
+            "node",
+            "resp",
+            "discovery",
+            "admin",
+            "limits",
+            "etcd",
+            "memcached",
+            "quota",
+            "control",
+            "log",
+        ]);
         let node = root.text("node");
         if node.is_none() && !root.has("node") {
             root.missing("node", "name the platform's JSON file, as in node = \"node.json\"");
@@ -70,6 +85,17 @@
         let mut found = root.section("discovery");
         found.only(&["address"]);
         let discovery = found.address("address");
+        let mut second = root.section("admin");
+        second.only(&["address", "form"]);
+        let admin = second.address("address");
+        let prometheus = match second.text("form") {
+            None | Some("lines") => false,
+            Some("prometheus") => true,
+            Some(_) => {
+                second.note(second.place("form"), "form", "no such form", "write lines or prometheus");
+                false
+            }
+        };
         let mut limits = root.section("limits");
         limits.only(&["sockets", "memory_mb"]);
         let (sockets, memory_mb) =
@@ -84,6 +110,8 @@
             node,
             listen,
             discovery,
+            admin,
+            prometheus,
             sockets,
             memory_mb,
             etcd: None,
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -41,7 +41,7 @@
         nothing_has_come(&self.stream)
     }
 
-    async fn ask(mut self, call: &Call, _: &Target, _: Duration) -> (Reply, Option<Self>) {
+    async fn ask(mut self, call: &Call, target: &Target, _: Duration) -> (Reply, Option<Self>) {
         // Nothing is sent of a key that the protocol can't carry.
         if call.key.len() > KEY_LIMIT {
             return (Reply::of(Outcome::Ignored), Some(self));
@@ -52,6 +52,7 @@
         if self.stream.write_all(&buffer).await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        target.written();
         buffer.clear();
         loop {
             match next_response(&mut buffer, LONGEST) {
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -34,7 +34,7 @@
         nothing_has_come(&self.0)
     }
 
-    async fn ask(mut self, call: &Call, _: &Target, wait: Duration) -> (Reply, Option<Self>) {
+    async fn ask(mut self, call: &Call, target: &Target, wait: Duration) -> (Reply, Option<Self>) {
         // The protocol has no words for the others: nothing is sent.
         if !matches!(call.verb, Verb::Get | Verb::Set) {
             return (Reply::of(Outcome::Ignored), Some(self));
@@ -44,6 +44,7 @@
         if self.0.write_all(&buffer).await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        target.written();
         buffer.clear();
         loop {
             match next_frame(&mut buffer, LARGEST) {
