--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -44,7 +44,7 @@
     /// What lists have changed and was not yet taken.
     news: Vec<(String, News)>,
     servers: HashMap<ServerId, Server<C>>,
-    /// Counts attempts at caches.
+    /// Counts attempts.
     tries: Tries,
     /// An idle connection is closed at this age: before the server does it ...
     idle_limit: Duration,
@@ -171,8 +171,7 @@
         }
         let Server { addr, origin, kind, standing, .. } = &*server;
         let (kind, standing) = (kind.clone(), standing.clone());
-        let tries = (!*origin).then(|| self.tries.clone());
-        let target = Target { addr: *addr, origin: *origin, kind, standing, tries };
+        let target = Target { addr: *addr, origin: *origin, kind, standing, tries: self.tries.clone() };
         Some((target, pooled))
     }
 
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -52,16 +52,14 @@
     /// Its kind of machine, by name.
     pub kind: Arc<str>,
     pub(crate) standing: Standing,
-    /// Counts attempts; not for the origin.
-    pub(crate) tries: Option<Tries>,
+    /// Counts attempts.
+    pub(crate) tries: Tries,
 }
 
 impl Target {
     /// Tells that an attempt has been written whole.
     pub fn written(&self) {
-        if let Some(tries) = &self.tries {
-            tries.count();
-        }
+        self.tries.count();
     }
 }
 
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -77,7 +77,7 @@
     pub dropped: u64,
     /// Requests that failed.
     pub failed: u64,
-    /// Attempts written whole to caches.
+    /// Attempts written whole to servers, the origin among them.
     pub tries: u64,
 }
 
@@ -94,7 +94,7 @@
         let classes = classes.into_iter().map(|name| (name.clone(), ends(&name))).collect();
         let (tries, in_progress, known, skipped): (Counter, Gauge, Gauge, Gauge) = Default::default();
         registry.register("requests", "Requests by class and end", requests);
-        registry.register("upstream_tries", "Attempts written whole to caches", tries.clone());
+        registry.register("upstream_tries", "Attempts written whole to servers", tries.clone());
         registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
         registry.register("known_cache_servers", "Caches in the list", known.clone());
         registry.register("skipped_cache_servers", "Listed caches that are avoided now", skipped.clone());
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -312,14 +312,24 @@
     }
 
     pub fn node(self) -> Node {
+        let (config, mut command) = self.command();
+        Node::run(&config, &mut command)
+    }
+
+    /// A node with a second address, and more in its environment.
+    pub fn operated(self, environment: &[(&str, String)]) -> (Node, SocketAddr) {
+        let (config, mut command) = self.command();
+        Node::with_admin(&config, command.envs(environment.iter().map(|(name, value)| (name, value))))
+    }
+
+    fn command(self) -> (String, Command) {
         let Start { known, discovery, sockets, settings, shell } = self;
         let config = format!(
             r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
-        Node::run(
-            &config,
-            program(shell).env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", discovery.to_string()),
-        )
+        let mut command = program(shell);
+        command.env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", discovery.to_string());
+        (config, command)
     }
 }
 
@@ -329,14 +339,35 @@
         Node::run(config, &mut program("exec \"$0\""))
     }
 
+    /// A node with this configuration and a second address.
+    pub fn operated(config: &str) -> (Node, SocketAddr) {
+        Node::with_admin(config, &mut program("exec \"$0\""))
+    }
+
+    fn with_admin(config: &str, command: &mut Command) -> (Node, SocketAddr) {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("node.json");
+        std::fs::write(&file, config).unwrap();
+        command.env("EDGE_CONFIG", &file).env("EDGE_ADMIN", "127.0.0.1:0");
+        let (mut node, log) = Node::begin(command, file, Some(folder));
+        node.read_log(log);
+        let line = node.logged("the second address is");
+        let admin = line.rsplit(' ').next().and_then(|addr| addr.parse().ok()).expect("an address");
+        (node, admin)
+    }
+
+    fn read_log(&mut self, log: BufReader<ChildStderr>) {
+        let (to, lines) = channel();
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| _ = to.send(line)));
+        self.log = Some(lines);
+    }
+
     /// A node by the options in a folder, `serve.toml` and what that names.
     pub fn serving(folder: &Path) -> Node {
         let mut command = program("exec \"$0\" serve --config \"$CONFIG\"");
         command.env("CONFIG", folder.join("serve.toml"));
         let (mut node, log) = Node::begin(&mut command, folder.join("node.json"), None);
-        let (to, lines) = channel();
-        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|line| _ = to.send(line)));
-        node.log = Some(lines);
+        node.read_log(log);
         node
     }
 
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -68,6 +68,7 @@
         if self.sender.ready().await.is_err() {
             return (Reply::of(Outcome::ConnectError), None);
         }
+        target.written(); // as good as: it is written in the same turn of its task
         match self.sender.try_send_request(request).await {
             // A request that is handed back was never begun.
             Err(mut error) => match error.take_message() {
