Read what has come on a connection before a node that ends closes it, for half a second

It is read now, since each costs its client a new connection; to be bounded, half a second after connections without a request are closed nothing more is read: 0.5 + 0.5 s after SIGTERM, and 2.2 s for the longest wait of a client, end before the 3.6 s at which the node ends.

--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -40,7 +40,7 @@
 const NEW: Duration = Duration::from_millis(300);
 /// Where connections between requests are to be closed, one that has always something more to say is closed all the
 /// same after so long.
-const LAST_WORDS: Duration = Duration::from_secs(1);
+const LAST_WORDS: Duration = Duration::from_millis(500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
 /// A client that takes no byte of its answers for so long is given up.
@@ -185,9 +185,13 @@
     /// Guards against: a request that is closed on, unread, though it had come already.
     fn parting(&mut self, manner: Manner, unowed: bool, just_answered: bool) -> When {
         let now = Instant::now();
-        if manner < Manner::Idle {
-            self.unwanted = None;
-        }
+        let unwanted = match manner {
+            Manner::Idle => *self.unwanted.get_or_insert(now),
+            Manner::Stay | Manner::BehindAnswer => {
+                self.unwanted = None;
+                now
+            }
+        };
         if !unowed || !self.buffer.is_empty() {
             return When::Not;
         }
@@ -196,7 +200,7 @@
             Manner::BehindAnswer if just_answered && self.asked => When::Unheard,
             Manner::BehindAnswer => When::Not,
             Manner::Idle if !self.heard && now < self.born + NEW => When::Known,
-            Manner::Idle if now >= *self.unwanted.get_or_insert(now) + LAST_WORDS => When::AtOnce,
+            Manner::Idle if now >= unwanted + LAST_WORDS => When::AtOnce,
             Manner::Idle => When::Unheard,
         }
     }
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -181,6 +181,7 @@
         assert!(options.log.format == Format::Json && options.log.files.is_some());
         assert!(options.listen.is_some() && options.discovery.is_some());
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
+        assert!(options.admin.is_some() && !options.prometheus);
     }
 
     #[test]
@@ -190,13 +191,17 @@
             ("[limits]", "1: node: missing; name the platform's JSON file, as in node = \"node.json\""),
             (
                 "node = \"n\"\nport = 1",
-                "2: port: no such key; take it out, or write one of node, resp, discovery, limits, etcd, memcached, quota, control, log",
+                "2: port: no such key; take it out, or write one of node, resp, discovery, admin, limits, etcd, memcached, quota, control, log",
             ),
             ("node = \"n\"\nresp = 1", "2: resp: not a table; write [resp] and its keys below"),
             (
                 "node = \"n\"\n[resp]\nlisten = \"6379\"",
                 "3: resp.listen: \"6379\" is no address with a port; write it as 127.0.0.1:6379 or [::1]:6379",
             ),
+            (
+                "node = \"n\"\n[admin]\nform = \"html\"",
+                "3: admin.form: no such form; write lines or prometheus",
+            ),
             (
                 "node = \"n\"\n[limits]\nsockets = 3",
                 "3: limits.sockets: out of range; write a whole number from 48 to 1048576",
