Let values over 64 KiB flow through, first head first, with a governor of what is held

Change: upstreams tell the head by Target::begin, the driver gives the client the first and tells the module FirstByte, sessions write pieces as they come, the governor bounds what is held; an attempt whose value has begun is struck off the module's books.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -113,9 +113,19 @@
         self.put(RESPONSE, out);
     }
 
+    /// Appends a response up to its value, of which so many bytes follow in place of this packet's.
+    pub fn put_response_head(&self, value: usize, out: &mut BytesMut) {
+        self.put_head(RESPONSE, value, out);
+    }
+
     fn put(&self, magic: u8, out: &mut BytesMut) {
-        let body = self.extras.len() + self.key.len() + self.value.len();
-        out.reserve(HEADER + body);
+        out.reserve(HEADER + self.extras.len() + self.key.len() + self.value.len());
+        self.put_head(magic, self.value.len(), out);
+        out.put_slice(&self.value);
+    }
+
+    fn put_head(&self, magic: u8, value: usize, out: &mut BytesMut) {
+        let body = self.extras.len() + self.key.len() + value;
         out.put_u8(magic);
         out.put_u8(self.opcode);
         out.put_u16(self.key.len() as u16);
@@ -125,7 +135,7 @@
         out.put_u32(body as u32);
         out.put_u32(self.opaque);
         out.put_u64(self.cas);
-        [&self.extras, &self.key, &self.value].into_iter().for_each(|part| out.put_slice(part));
+        [&self.extras, &self.key].into_iter().for_each(|part| out.put_slice(part));
     }
 }
 
@@ -171,6 +181,33 @@
     next(RESPONSE, buffer, longest)
 }
 
+/// What a response says before its body has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Head {
+    /// The opcode's number.
+    pub opcode: u8,
+    /// How the request went.
+    pub status: Status,
+    /// As the request had it.
+    pub opaque: u32,
+    /// The lengths of extras, key and value, in bytes.
+    pub extras: usize,
+    /// As above.
+    pub key: usize,
+    /// As above.
+    pub value: usize,
+}
+
+/// The head of a response, if it has come and is in order.
+pub fn response_head(buffer: &[u8]) -> Option<Head> {
+    let mut header = buffer.get(..HEADER)?;
+    let (magic, opcode) = (header.get_u8(), header.get_u8());
+    let (key, extras, data_type) = (header.get_u16() as usize, header.get_u8() as usize, header.get_u8());
+    let (status, body, opaque) = (Status(header.get_u16()), header.get_u32() as usize, header.get_u32());
+    let value = body.checked_sub(key + extras)?;
+    (magic == RESPONSE && data_type == 0).then_some(Head { opcode, status, opaque, extras, key, value })
+}
+
 fn next(magic: u8, buffer: &mut BytesMut, longest: usize) -> Result<Option<Packet>, Malformed> {
     // Guards against: another protocol's short command, for the rest of which nobody would wait in vain.
     if let Some(&first) = buffer.first().filter(|first| **first != magic) {
--- a/crates/codec/src/resp.rs
+++ b/crates/codec/src/resp.rs
@@ -29,6 +29,20 @@
     }
 }
 
+/// The head of an array of three whose first element is a bulk string longer than `over` bytes: how many bytes the
+/// head has, and how many the string. Nothing if the buffer begins otherwise, or its head is not whole.
+pub fn long_head(buffer: &[u8], over: usize) -> Option<(usize, usize)> {
+    let rest = buffer.strip_prefix(b"*3\r\n$")?;
+    let end = rest.windows(2).take(LINE).position(|pair| pair == b"\r\n")?;
+    let length = std::str::from_utf8(&rest[..end]).ok()?.parse::<u32>().ok()? as usize;
+    (length > over).then_some((buffer.len() - rest.len() + end + 2, length))
+}
+
+/// Appends the header of a bulk string of so many bytes.
+pub fn put_bulk_header(out: &mut BytesMut, length: usize) {
+    put_header(out, b'$', length);
+}
+
 /// The length of the first frame, if it is whole: one element, or a flat array of them.
 fn frame_length(buffer: &[u8], limit: usize) -> Result<Option<usize>, Malformed> {
     let mut rest = buffer;
@@ -153,6 +167,24 @@
         assert!(text.is_empty());
     }
 
+    #[test]
+    fn the_head_of_a_long_value_is_known_before_the_value_has_come() {
+        let head = b"*3\r\n$70000\r\n";
+        for n in 0..head.len() {
+            assert_eq!(long_head(&head[..n], 100), None);
+        }
+        assert_eq!(long_head(&[&head[..], b"xyz"].concat(), 100), Some((head.len(), 70_000)));
+        for other in [
+            &b"*3\r\n$100\r\n"[..],
+            b"*2\r\n$70000\r\n",
+            b"$70000\r\n",
+            b"*3\r\n$-1\r\n",
+            b"*3\r\n$99999999999\r\n",
+        ] {
+            assert_eq!(long_head(other, 100), None);
+        }
+    }
+
     #[test]
     fn a_bulk_string_ends_with_a_line_break() {
         assert_eq!(parse(b"$1\r\naXY"), Err(Malformed));
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use paddlefold::Micros;
 
+use crate::flow::Flow;
+
 /// The longest value, in bytes.
 pub const VALUE_LIMIT: usize = 64 << 10;
 /// Key, id and facts together are no longer than this, in bytes.
@@ -149,10 +151,12 @@
 }
 
 /// The final answer to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Answer {
     /// As a server made it for this request.
     Served(Made),
+    /// A large value has begun to come, and comes on; one that ends too early is broken.
+    Begun(Flow),
     /// Refused: trying again is harmless. The client should stay away so long, if that is not 0.
     Busy(Micros),
     /// Failed, with no promise about its effect.
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::flow::Opening;
 use crate::members::{Entry, List, State};
 use crate::upstream::{Connection, Standing, Target};
 
@@ -158,7 +159,7 @@
     }
 
     /// Where to send to a server, and the connection to use, if one is at hand.
-    pub fn check_out(&mut self, id: ServerId, now: Instant) -> Option<(Target, Option<C>)> {
+    pub fn check_out(&mut self, id: ServerId, now: Instant, opening: Opening) -> Option<(Target, Option<C>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         let mut pooled = None;
@@ -171,7 +172,8 @@
         }
         let Server { addr, origin, kind, standing, .. } = &*server;
         let (kind, standing) = (kind.clone(), standing.clone());
-        let target = Target { addr: *addr, origin: *origin, kind, standing, tries: self.tries.clone() };
+        let target =
+            Target { addr: *addr, origin: *origin, kind, standing, tries: self.tries.clone(), opening };
         Some((target, pooled))
     }
 
@@ -297,7 +299,10 @@
         directory.check_in(id, addr, Numbered(1), now);
         directory.check_in(id, addr, Numbered(2), now + KEEPALIVE / 10);
         assert_eq!(directory.idle(), 1, "without waiting for a sweep");
-        let (_, pooled) = directory.check_out(id, now + KEEPALIVE / 5).expect("it is listed");
+        let governor = crate::governor::Governor::new(0);
+        let (to, _) = tokio::sync::mpsc::unbounded_channel();
+        let opening = Opening { id: paddlefold::RequestId(1), attempt: 0, to, governor };
+        let (_, pooled) = directory.check_out(id, now + KEEPALIVE / 5, opening).expect("it is listed");
         assert_eq!(pooled.map(|connection| connection.0), Some(2));
     }
 }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -28,6 +28,8 @@
 use crate::call::{Answer, Call};
 use crate::clock::Clock;
 use crate::directory::{Directory, News};
+use crate::flow::{Begun, Opening};
+use crate::governor::Governor;
 use crate::members::{List, Members};
 use crate::requests::Requests;
 use crate::steering::{Holding, ServerNow, Steering};
@@ -91,13 +93,18 @@
     answer: Option<oneshot::Sender<Answer>>,
     /// By their numbers; nothing once an attempt has ended.
     attempts: Vec<Option<Running>>,
+    /// Whether a large value is on its way: its end is the request's.
+    flows: bool,
 }
 
 struct Running {
     server: ServerId,
     sent: Instant,
     task: AbortHandle,
-    timer: delay_queue::Key,
+    /// When it is given up; a large value that has begun is not.
+    timer: Option<delay_queue::Key>,
+    /// After what time a large value began to come.
+    began: Option<Duration>,
 }
 
 enum Due {
@@ -233,6 +240,9 @@
     actions: Vec<Action>,
     subscribe: Arc<Notify>,
     inbox: UnboundedReceiver<Message>,
+    governor: Arc<Governor>,
+    to_begin: UnboundedSender<Begun>,
+    begun: UnboundedReceiver<Begun>,
     to_self: UnboundedSender<Ended<U::Connection>>,
     attempts: UnboundedReceiver<Ended<U::Connection>>,
 }
@@ -243,6 +253,7 @@
         let (clock, settings) = (Clock::new(), options.setup.settings.clone());
         let (to, inbox) = unbounded_channel();
         let (to_self, attempts) = unbounded_channel();
+        let (to_begin, begun) = unbounded_channel();
         let subscribe = Arc::new(Notify::new());
         let asked = settings.must_subscribe.then(|| subscribe.clone());
         let watched = Watched::new(clock, &options.setup.names);
@@ -269,6 +280,9 @@
             actions: Vec::new(),
             subscribe,
             inbox,
+            governor: Governor::new(options.memory),
+            to_begin,
+            begun,
             to_self,
             attempts,
         };
@@ -295,6 +309,7 @@
                     Some(message) => self.told(message),
                     None => return,
                 },
+                Some(begun) = self.begun.recv() => self.begin(begun),
                 Some(ended) = self.attempts.recv() => self.ended(ended),
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
             }
@@ -467,7 +482,7 @@
         let effect =
             call.class.and_then(|class| self.setup.settings.classes.get(class)).map(|class| class.effect);
         self.watched.arrived(&request, call.wait(), effect);
-        let open = Open { call, ticket, answer: Some(answer), attempts: Vec::new() };
+        let open = Open { call, ticket, answer: Some(answer), attempts: Vec::new(), flows: false };
         self.open.insert(id, open);
         self.events.push_back(Event::Request(request));
     }
@@ -514,7 +529,9 @@
         let now = Instant::now();
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts.len();
-        let place = self.directory.check_out(server, now).filter(|(_, pooled)| {
+        let (to, governor) = (self.to_begin.clone(), self.governor.clone());
+        let opening = Opening { id, attempt, to, governor };
+        let place = self.directory.check_out(server, now, opening).filter(|(_, pooled)| {
             let held = self.running + self.directory.idle();
             self.gauges.connections.store(held, Ordering::Relaxed);
             if pooled.is_none() && held >= self.connections {
@@ -527,10 +544,10 @@
             self.watched.ended(id, server, Outcome::Ignored, Duration::ZERO);
             return self.tell_end(id, attempt, Outcome::Ignored, Duration::ZERO, None);
         };
-        let timer = self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER));
+        let timer = Some(self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER)));
         let task = self.start(id, attempt, server, target, pooled, wait);
         let open = self.open.get_mut(&id).expect("looked up above");
-        open.attempts.push(Some(Running { server, sent: now, task, timer }));
+        open.attempts.push(Some(Running { server, sent: now, task, timer, began: None }));
         self.watched.sent(id, server);
         self.running += 1;
     }
@@ -566,8 +583,8 @@
     fn give_up(&mut self, id: RequestId, attempt: usize, outcome: Outcome) {
         let Some(running) = self.close(id, attempt) else { return };
         running.task.abort();
-        if outcome != Outcome::TimedOut {
-            self.timers.try_remove(&running.timer);
+        if let Some(timer) = running.timer.filter(|_| outcome != Outcome::TimedOut) {
+            self.timers.try_remove(&timer);
         }
         let elapsed = running.sent.elapsed();
         self.watched.ended(id, running.server, outcome, elapsed);
@@ -575,14 +592,25 @@
     }
 
     fn ended(&mut self, ended: Ended<U::Connection>) {
+        // A value that came whole at once has begun before it ended.
+        while let Ok(begun) = self.begun.try_recv() {
+            self.begin(begun);
+        }
         let Ended { id, attempt, reply, server, addr, connection } = ended;
         let running = self.close(id, attempt);
         if let Some(connection) = connection {
             self.directory.check_in(server, addr, connection, Instant::now());
         }
         let Some(running) = running else { return }; // given up before: a late outcome changes nothing
-        self.timers.try_remove(&running.timer);
-        let elapsed = running.sent.elapsed();
+        if let Some(timer) = running.timer {
+            self.timers.try_remove(&timer);
+        }
+        // How long a client takes to read says nothing of the server.
+        let began = running.began.filter(|_| reply.outcome == Outcome::Ok);
+        let elapsed = began.unwrap_or_else(|| running.sent.elapsed());
+        if running.began.is_some() {
+            self.flowed(id, reply.outcome);
+        }
         self.watched.ended(id, running.server, reply.outcome, elapsed);
         if reply.outcome == Outcome::Ok
             && let Some(open) = self.open.get_mut(&id)
@@ -595,6 +623,35 @@
         self.tell_end(id, attempt, reply.outcome, elapsed, reply.hit);
     }
 
+    /// The head of a large value has come. The first one is the client's.
+    fn begin(&mut self, begun: Begun) {
+        let Begun { id, attempt, flow } = begun;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(running) = open.attempts.get_mut(attempt).and_then(Option::as_mut) else { return };
+        // Answered already: the attempt hears that nobody wants its value when the flow is dropped.
+        let Some(sender) = open.answer.take() else { return };
+        running.began = Some(running.sent.elapsed());
+        if let Some(timer) = running.timer.take() {
+            self.timers.try_remove(&timer);
+        }
+        open.flows = true;
+        let _ = sender.send(Answer::Begun(flow)); // the client may have left
+        self.events.push_back(Event::FirstByte { id, attempt });
+    }
+
+    /// A large value has ended, and with it its request.
+    fn flowed(&mut self, id: RequestId, outcome: Outcome) {
+        let Some(open) = self.open.get_mut(&id).filter(|open| open.flows) else { return };
+        open.flows = false;
+        let (kind, end) = match outcome {
+            Outcome::Ok => (Kind::Served, Some(End::Passed)),
+            Outcome::Canceled => (Kind::Gone, None), // its client has left
+            _ => (Kind::Failed, Some(End::Failed)),
+        };
+        self.watched.answered(id, kind, || &open.call.key);
+        self.book.ended(open.call.class, end);
+    }
+
     fn tell_end(
         &mut self,
         id: RequestId,
@@ -613,7 +670,7 @@
 
 fn end(answer: &Answer) -> End {
     match answer {
-        Answer::Served(_) => End::Passed,
+        Answer::Served(_) | Answer::Begun(_) => End::Passed,
         Answer::Busy(_) => End::Dropped,
         Answer::Failed => End::Failed,
     }
--- a/crates/core/src/driver/look.rs
+++ b/crates/core/src/driver/look.rs
@@ -111,7 +111,7 @@
 
 pub(super) fn kind(answer: &Answer) -> Kind {
     match answer {
-        Answer::Served(_) => Kind::Served,
+        Answer::Served(_) | Answer::Begun(_) => Kind::Served,
         Answer::Busy(_) => Kind::Busy,
         Answer::Failed => Kind::Failed,
     }
@@ -202,7 +202,7 @@
             let at = out.entry(running.server).or_default();
             at.count += 1;
             at.oldest = Some(at.oldest.map_or(running.sent, |oldest| oldest.min(running.sent)));
-            at.free = at.free.max(Some(self.timers.deadline(&running.timer)));
+            at.free = at.free.max(running.timer.as_ref().map(|timer| self.timers.deadline(timer)));
         }
         let known = self.directory.by_name();
         let instant = Instant::now();
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -11,6 +11,7 @@
 use paddlefold::Outcome;
 
 use crate::call::{Call, Made};
+use crate::flow::{Feeder, Opening};
 
 /// Makes connections to servers.
 ///
@@ -54,9 +55,17 @@
     pub(crate) standing: Standing,
     /// Counts attempts.
     pub(crate) tries: Tries,
+    /// Of one attempt, by which it tells that its answer has begun.
+    pub(crate) opening: Opening,
 }
 
 impl Target {
+    /// Tells that the head of a value over [`VALUE_LIMIT`](crate::VALUE_LIMIT) has come: from here on the attempt is
+    /// the client's if it is the first, and nobody wants it if not. Once in an attempt.
+    pub fn begin(&self, length: usize, flags: u32) -> Feeder {
+        self.opening.begin(length, flags)
+    }
+
     /// Tells that an attempt has been written whole.
     pub fn written(&self) {
         self.tries.count();
--- a/crates/core/tests/steering.rs
+++ b/crates/core/tests/steering.rs
@@ -112,7 +112,8 @@
     assert_eq!(stage.order("s1", Order::Drain).await.unwrap().replaced, None);
     assert_eq!(stage.fifty().await, [0, 50], "nothing new");
     answer.send(Reply::served(Made::value("late"))).unwrap();
-    assert_eq!((pending.await, port), (Answer::Served(Made::value("late")), 1));
+    assert!(matches!(pending.await, Answer::Served(made) if made == Made::value("late")));
+    assert_eq!(port, 1);
     // Neither does word from the list bring it back, nor would the other be let go.
     assert!(stage.members.list(List { full: false, servers: vec![entry("s1", 1, State::Serving)] }));
     assert_eq!(stage.fifty().await, [0, 50], "the list does not override an operator");
--- a/crates/fronts/src/memcache/mod.rs
+++ b/crates/fronts/src/memcache/mod.rs
@@ -144,11 +144,17 @@
             Answer::Served(Made::Exists) => with(Status::KEY_EXISTS, "Data exists for key".into()),
             Answer::Busy(0) => with(Status::BUSY, "BUSY".into()),
             Answer::Busy(wait) => with(Status::BUSY, format!("BUSY {}", wait.div_ceil(1000))),
-            Answer::Failed => with(Status::INTERNAL_ERROR, "failed".into()),
+            Answer::Failed | Answer::Begun(_) => with(Status::INTERNAL_ERROR, "failed".into()),
         };
         packet.put_response(out);
     }
 
+    fn begin(&mut self, asked: Asked, length: usize, flags: u32, out: &mut BytesMut) {
+        let Asked { opcode, opaque, key } = asked;
+        let extras = Bytes::copy_from_slice(&flags.to_be_bytes());
+        Packet { extras, key, ..Packet::new(opcode, opaque) }.put_response_head(length, out);
+    }
+
     fn refuse(&mut self, asked: Asked, why: Refusal, out: &mut BytesMut) {
         let text = match why {
             Refusal::InUse => "id in use",
--- a/crates/fronts/src/protocol.rs
+++ b/crates/fronts/src/protocol.rs
@@ -21,9 +21,15 @@
     /// If what has come can't be the beginning of a command. Nothing more is read then.
     fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Input<Self::Reply>>, Malformed>;
 
-    /// Words the final answer to a call.
+    /// Words the final answer to a call, unless it is a large value's beginning: see [`Protocol::begin`].
     fn answer(&mut self, reply: Self::Reply, answer: Answer, out: &mut BytesMut);
 
+    /// Words what stands before a large value of so many bytes, and the flags beside it: a read's answer.
+    fn begin(&mut self, reply: Self::Reply, length: usize, flags: u32, out: &mut BytesMut);
+
+    /// Words what stands behind a large value.
+    fn finish(&mut self, _out: &mut BytesMut) {}
+
     /// Words why a call was not begun.
     fn refuse(&mut self, reply: Self::Reply, why: Refusal, out: &mut BytesMut);
 
--- a/crates/fronts/src/resp.rs
+++ b/crates/fronts/src/resp.rs
@@ -4,7 +4,7 @@
 use std::{fmt, str};
 
 use bytes::{Bytes, BytesMut};
-use lilacquay_codec::resp::{Frame, next_frame, put_bulk, put_error, put_simple};
+use lilacquay_codec::resp::{Frame, next_frame, put_bulk, put_bulk_header, put_error, put_simple};
 use lilacquay_core::{Answer, Call, CallError, Made, Micros, VALUE_LIMIT};
 use paddlefold::setup::Names;
 
@@ -76,10 +76,18 @@
             Answer::Served(Made::Absent | Made::Exists) => out.extend_from_slice(b"$-1\r\n"),
             Answer::Busy(0) => put_error(out, format_args!("BUSY")),
             Answer::Busy(wait) => put_error(out, format_args!("BUSY {}", wait.div_ceil(1000))),
-            Answer::Failed => put_error(out, format_args!("ERR failed")),
+            Answer::Failed | Answer::Begun(_) => put_error(out, format_args!("ERR failed")),
         }
     }
 
+    fn begin(&mut self, (): (), length: usize, _flags: u32, out: &mut BytesMut) {
+        put_bulk_header(out, length);
+    }
+
+    fn finish(&mut self, out: &mut BytesMut) {
+        out.extend_from_slice(b"\r\n");
+    }
+
     fn refuse(&mut self, (): (), why: Refusal, out: &mut BytesMut) {
         let why = match why {
             Refusal::InUse => "id in use",
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::{Answer, Call, Pending, VALUE_LIMIT};
+use lilacquay_core::{Answer, Call, Flow, Pending, VALUE_LIMIT};
 use lilacquay_life::Manner;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
@@ -158,8 +158,11 @@
                 // Guards against: long commands on all connections at once, which outgrow the memory.
                 Ok(place) = large.clone().acquire_owned(), if reading && !roomy => self.large = Some(place),
                 (owed, answer) = next(&mut self.owed), if !unowed => {
-                    let text = self.answers(owed, answer);
-                    timeout(STUCK, writer.write_all(&text)).await??;
+                    let (text, flow) = self.answers(owed, answer);
+                    write(&mut writer, &text).await?;
+                    if let Some(flow) = flow {
+                        self.pass_on(&mut writer, flow).await?;
+                    }
                     self.since = Instant::now();
                     just_answered = true;
                 }
@@ -171,7 +174,7 @@
                 () = sleep_until(give_up_at), if may_give_up => {
                     let mut text = BytesMut::new();
                     self.protocol.part(Parting::Silent, &mut text);
-                    timeout(STUCK, writer.write_all(&text)).await??;
+                    write(&mut writer, &text).await?;
                     return writer.shutdown().await;
                 }
                 () = Seat::cleared(&mut seat) => return writer.shutdown().await,
@@ -225,26 +228,46 @@
         self.broken.map_or(self.since + PATIENCE, |at| at + PARTING)
     }
 
-    /// The text of an answer, and of those behind it that are at hand.
-    fn answers(&mut self, first: Owed<P::Reply>, answer: Option<Answer>) -> BytesMut {
+    /// Writes a large value as it comes.
+    async fn pass_on(&mut self, writer: &mut WriteHalf<'_>, mut flow: Flow) -> io::Result<()> {
+        let mut left = flow.length();
+        while left > 0 {
+            // Guards against: a value that is not whole and looks so. The client sees the connection end.
+            let piece = flow.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
+            write(writer, &piece.bytes).await?;
+            left = left.saturating_sub(piece.bytes.len());
+        }
+        let mut text = BytesMut::new();
+        self.protocol.finish(&mut text);
+        write(writer, &text).await
+    }
+
+    /// The text of an answer, and of those behind it that are at hand; if the last of them is a large value's head, the
+    /// value.
+    fn answers(&mut self, first: Owed<P::Reply>, answer: Option<Answer>) -> (BytesMut, Option<Flow>) {
         let (mut text, mut owed, mut answer) = (BytesMut::new(), first, answer);
         loop {
             match (owed, answer) {
                 (Owed::Ready(ready), _) if text.is_empty() => text = ready,
                 (Owed::Ready(ready), _) => text.extend_from_slice(&ready),
+                (Owed::Waiting(_, reply), Some(Answer::Begun(flow))) => {
+                    self.open -= 1;
+                    self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
+                    return (text, Some(flow));
+                }
                 (Owed::Waiting(_, reply), answer) => {
                     self.open -= 1;
                     self.protocol.answer(reply, answer.unwrap_or(Answer::Failed), &mut text);
                 }
             }
             answer = match self.owed.front_mut() {
-                Some(_) if text.len() >= WRITTEN => return text,
+                Some(_) if text.len() >= WRITTEN => return (text, None),
                 Some(Owed::Ready(_)) => None,
                 Some(Owed::Waiting(pending, _)) => match pending.try_answer() {
                     Some(answer) => Some(answer),
-                    None => return text, // not yet
+                    None => return (text, None), // not yet
                 },
-                None => return text,
+                None => return (text, None),
             };
             owed = self.owed.pop_front().expect("looked at above");
         }
@@ -326,6 +349,19 @@
     }
 }
 
+/// Writes to a client that takes some bytes now and then.
+///
+/// Guards against: one that takes none for long, and one that reads slowly given up like it.
+async fn write(writer: &mut WriteHalf<'_>, mut text: &[u8]) -> io::Result<()> {
+    while !text.is_empty() {
+        match timeout(STUCK, writer.write(text)).await?? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            written => text = &text[written..],
+        }
+    }
+    Ok(())
+}
+
 /// Reads what has come into a buffer, which takes no memory before something has.
 async fn receive(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
     poll_fn(|cx| {
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -56,11 +56,15 @@
             Answer::Served(Made::Value { bytes, .. }) => format!("{id}: {} bytes\n", bytes.len()),
             Answer::Served(_) => format!("{id}: nothing\n"),
             Answer::Busy(_) => format!("{id}: busy\n"),
-            Answer::Failed => format!("{id}: failed\n"),
+            Answer::Failed | Answer::Begun(_) => format!("{id}: failed\n"),
         };
         out.extend_from_slice(text.as_bytes());
     }
 
+    fn begin(&mut self, id: String, length: usize, _: u32, out: &mut BytesMut) {
+        out.extend_from_slice(format!("{id}: {length} bytes follow\n").as_bytes());
+    }
+
     fn refuse(&mut self, id: String, why: Refusal, out: &mut BytesMut) {
         out.extend_from_slice(format!("{id}: {why:?}\n").as_bytes());
     }
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -121,6 +121,8 @@
             Event::FirstByte { id, attempt } => {
                 if let Some(r) = self.open.get_mut(&id).filter(|r| attempt < r.tries.len()) {
                     r.streaming = true;
+                    let to = r.tries[attempt].server;
+                    self.strike_off(id, attempt, to);
                     self.cancel(id, Some(attempt), out);
                 }
             }
--- a/crates/paddlefold/src/health.rs
+++ b/crates/paddlefold/src/health.rs
@@ -26,16 +26,20 @@
             sent.saturating_add(r.aim / 4) < s.answered && self.now >= spoilt
         };
         let lost: Vec<_> = s.out.iter().filter(lost).copied().collect();
-        let Some(s) = self.servers.get_mut(&to).filter(|_| !lost.is_empty()) else { return Vec::new() };
-        for entry in &lost {
-            s.out.remove(entry);
-            s.lost.insert((entry.1, entry.2));
-        }
-        let gate = &mut self.gates[usize::from(s.member.origin)];
-        gate.out = gate.out.saturating_sub(lost.len());
+        lost.iter().for_each(|&(_, id, attempt)| self.strike_off(id, attempt, to));
         lost.into_iter().map(|(_, id, _)| id).collect()
     }
 
+    /// Takes an attempt off the books: it holds no place any more, and is no sign of trouble while it lasts.
+    pub(super) fn strike_off(&mut self, id: RequestId, attempt: usize, to: ServerId) {
+        let Some(s) = self.servers.get_mut(&to) else { return };
+        if s.close(id, attempt).is_some() {
+            s.lost.insert((id, attempt));
+            let gate = &mut self.gates[usize::from(s.member.origin)];
+            gate.out = gate.out.saturating_sub(1);
+        }
+    }
+
     fn learn(&mut self, end: &AttemptEnd, to: ServerId) {
         let (class, aim) = self.open.get(&end.id).map_or((0, 0), |r| (r.class, r.aim));
         let tau = self.tau();
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -6,16 +6,20 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, IF_MATCH, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use lilacquay_core::{Call, Connection, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
+use lilacquay_core::{Call, Connection, FLOW_LIMIT, Feeder, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::pass::{self, Broken};
+
+/// What one connection buffers of an answer, in bytes.
+const BUFFER: usize = 32 << 10;
 /// What a key may not show in a path.
 const ESCAPED: &AsciiSet = &CONTROLS
     .add(b' ')
@@ -48,7 +52,10 @@
     /// # Errors
     /// If the connection has broken already.
     pub async fn new(stream: TcpStream) -> io::Result<Self> {
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        // A large value's reader may be slow: what stands here meanwhile is bounded.
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // a break shows in the request that is out
         });
@@ -75,7 +82,7 @@
                 Some(_) => (Reply::of(Outcome::ConnectError), None),
                 None => (Reply::of(Outcome::Reset), None),
             },
-            Ok(answer) => match read(call.verb, answer).await {
+            Ok(answer) => match read(call.verb, answer, target).await {
                 Ok(reply) => (reply, Some(self)),
                 // Guards against: the rest of such an answer, read as the next one's.
                 Err(outcome) => (Reply::of(outcome), None),
@@ -107,11 +114,37 @@
         .ok()
 }
 
+/// The length of a value that is to flow.
+fn large(answer: &Response<Incoming>) -> Option<usize> {
+    let length = usize::try_from(answer.body().size_hint().exact()?).ok()?;
+    (VALUE_LIMIT < length && length <= FLOW_LIMIT).then_some(length)
+}
+
+/// Passes a large value on. Its connection is of use again after its last byte.
+async fn pass(mut body: Incoming, mut feeder: Feeder) -> Result<Reply, Broken> {
+    while feeder.left() > 0 {
+        let room = feeder.room().await?;
+        let frame = pass::read(async { body.frame().await.transpose().map_err(io::Error::other) }).await?;
+        match frame.map(|frame| frame.into_data()) {
+            Some(Ok(bytes)) => feeder.feed(bytes, room)?,
+            Some(Err(_trailers)) => {}
+            None => return Err(Broken::Server),
+        }
+    }
+    Ok(Reply::of(Outcome::Ok))
+}
+
 /// What an answer means; an error if its connection is of no further use.
-async fn read(verb: Verb, answer: Response<Incoming>) -> Result<Reply, Outcome> {
+async fn read(verb: Verb, answer: Response<Incoming>, target: &Target) -> Result<Reply, Outcome> {
     let (status, headers) = (answer.status(), answer.headers());
     let flags = headers.get("X-Flags").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
     let never_ran = headers.get("X-Unprocessed").is_some_and(|v| v == "1");
+    if status == StatusCode::OK
+        && let Some(length) = large(&answer)
+    {
+        let feeder = target.begin(length, flags);
+        return pass(answer.into_body(), feeder).await.map_err(Broken::outcome);
+    }
     let body = match Limited::new(answer.into_body(), VALUE_LIMIT).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<hyper::Error>() => return Err(Outcome::Reset),
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod http;
 pub mod memcache;
+mod pass;
 pub mod resp;
 
 use std::collections::BTreeSet;
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -6,16 +6,21 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, Bytes, BytesMut};
-use lilacquay_codec::memcache::{HEADER, KEY_LIMIT, Opcode, Packet, Status, next_response};
-use lilacquay_core::{Call, Connection, Made, Outcome, Reply, Target, Terms, VALUE_LIMIT, Verb};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use lilacquay_codec::memcache::{
+    HEADER, Head, KEY_LIMIT, Opcode, Packet, Status, next_response, response_head,
+};
+use lilacquay_core::{Call, Connection, FLOW_LIMIT, Made, Outcome, Reply, Target, Terms, VALUE_LIMIT, Verb};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::nothing_has_come;
+use crate::pass::{pass, read};
 
 /// The longest body of an answer: a value, its flags, and some room for a key, which none should bring.
 const LONGEST: usize = VALUE_LIMIT + 512;
+/// What stands before a read's value: its flags.
+const FLAGS: usize = 4;
 /// The least room of a request's buffer, which takes the answer later: most come whole in one read.
 const ROOM: usize = 1 << 10;
 
@@ -55,6 +60,9 @@
         target.written();
         buffer.clear();
         loop {
+            if let Some(head) = response_head(&buffer).filter(|head| self.is_large(call.verb, head)) {
+                return self.flow(buffer, head, target).await;
+            }
             match next_response(&mut buffer, LONGEST) {
                 Ok(Some(answer)) => {
                     let ours = answer.opaque == self.opaque && answer.opcode == opcode(call.verb) as u8;
@@ -73,6 +81,31 @@
     }
 }
 
+impl Memcache {
+    /// Whether a response is the answer to this read, with a value that is to flow.
+    fn is_large(&self, verb: Verb, head: &Head) -> bool {
+        let ours = head.opaque == self.opaque && head.opcode == Opcode::Get as u8;
+        let value = ours && head.status == Status::OK && head.extras == FLAGS && head.key == 0;
+        verb == Verb::Get && value && (VALUE_LIMIT + 1..=FLOW_LIMIT).contains(&head.value)
+    }
+
+    /// Passes a large value on.
+    async fn flow(mut self, mut come: BytesMut, head: Head, target: &Target) -> (Reply, Option<Self>) {
+        while come.len() < HEADER + FLAGS {
+            if !matches!(read(self.stream.read_buf(&mut come)).await, Ok(1..)) {
+                return (Reply::of(Outcome::Reset), None);
+            }
+        }
+        come.advance(HEADER);
+        let flags = come.get_u32();
+        let mut feeder = target.begin(head.value, flags);
+        match pass(&mut self.stream, &mut come, &mut feeder).await {
+            Err(broken) => (Reply::of(broken.outcome()), None),
+            Ok(()) => (Reply { hit: Some(true), ..Reply::of(Outcome::Ok) }, come.is_empty().then_some(self)),
+        }
+    }
+}
+
 fn opcode(verb: Verb) -> Opcode {
     match verb {
         Verb::Get => Opcode::Get,
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -2,17 +2,20 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
-use lilacquay_codec::resp::{Frame, Malformed, next_frame, put_array, put_bulk};
-use lilacquay_core::{Call, Connection, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
+use bytes::{Buf, BytesMut};
+use lilacquay_codec::resp::{Frame, Malformed, long_head, next_frame, put_array, put_bulk};
+use lilacquay_core::{Call, Connection, FLOW_LIMIT, Feeder, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::nothing_has_come;
+use crate::pass::{pass, read};
 
 /// A value of 64 KiB and what stands round it.
 const LARGEST: usize = 66 << 10;
 
+/// How a read went and the load report, behind a large value, in bytes.
+const NOTE: usize = 4 << 10;
 /// Room for a command's name and headers.
 const HEADERS: usize = 64;
 /// The least room of a command's buffer, which takes the answer later: most come whole in one read.
@@ -47,6 +50,10 @@
         target.written();
         buffer.clear();
         loop {
+            if let Some((head, length)) = long_head(&buffer, VALUE_LIMIT).filter(|(_, n)| *n <= FLOW_LIMIT) {
+                buffer.advance(head);
+                return self.flow(buffer, target.begin(length, 0)).await;
+            }
             match next_frame(&mut buffer, LARGEST) {
                 Ok(Some(frame)) => {
                     let reply = reply(frame);
@@ -64,6 +71,60 @@
     }
 }
 
+impl Cache {
+    /// Passes a large value on, and reads what stands behind it.
+    async fn flow(mut self, mut come: BytesMut, mut feeder: Feeder) -> (Reply, Option<Self>) {
+        if let Err(broken) = pass(&mut self.0, &mut come, &mut feeder).await {
+            return (Reply::of(broken.outcome()), None);
+        }
+        drop(feeder); // the client has all of it, whatever comes behind
+        let served = |hit| Reply { hit, ..Reply::of(Outcome::Ok) };
+        match self.note(&mut come).await {
+            Ok(hit) => (served(hit), come.is_empty().then_some(self)),
+            Err(_) => (served(None), None),
+        }
+    }
+
+    /// What stands behind a value: the end of its line, how the read went, and the load report.
+    async fn note(&mut self, come: &mut BytesMut) -> Result<Option<bool>, Malformed> {
+        let (mut frames, mut line_ended) = (Vec::new(), false);
+        loop {
+            if !line_ended && come.len() >= 2 {
+                if &come[..2] != b"\r\n" {
+                    return Err(Malformed);
+                }
+                come.advance(2);
+                line_ended = true;
+            }
+            while line_ended && frames.len() < 2 {
+                match next_frame(come, NOTE)? {
+                    Some(frame) => frames.push(frame),
+                    None => break,
+                }
+            }
+            if let [note, _report] = &frames[..] {
+                return hit(note);
+            }
+            if !matches!(read(self.0.read_buf(come)).await, Ok(1..)) {
+                return Err(Malformed);
+            }
+        }
+    }
+}
+
+/// How a read went, where the cache tells.
+fn hit(note: &Frame) -> Result<Option<bool>, Malformed> {
+    match note {
+        Frame::Null => Ok(None),
+        Frame::BulkString(word) => match &word[..] {
+            b"hit" => Ok(Some(true)),
+            b"miss" | b"pending" => Ok(Some(false)),
+            _ => Err(Malformed),
+        },
+        _ => Err(Malformed),
+    }
+}
+
 /// The command for a cache: as it came, but for how long the node will wait.
 fn command(call: &Call, wait: Duration) -> BytesMut {
     let name: &[u8] = if call.is_write() { b"CACHE.SET" } else { b"CACHE.GET" };
@@ -90,15 +151,7 @@
         // Guards against: spoilt answers that look like one. The load report is not read, and may be anything.
         Frame::Array(parts) => {
             let [value, note, _report] = <[_; 3]>::try_from(parts).map_err(|_| Malformed)?;
-            let hit = match note {
-                Frame::Null => None,
-                Frame::BulkString(word) => match &word[..] {
-                    b"hit" => Some(true),
-                    b"miss" | b"pending" => Some(false),
-                    _ => return Err(Malformed),
-                },
-                _ => return Err(Malformed),
-            };
+            let hit = hit(&note)?;
             match value {
                 Frame::BulkString(value) if value.len() <= VALUE_LIMIT => {
                     Ok(Reply { hit, ..Reply::served(Made::value(value)) })
