Keep a copy that loses from cutting off the large value that won, and admit who waits

Cause: driver.rs tell_end told the loser's end as settled, since the answer had been taken; the module ended the request and called off what was still out, the winner. Ruled out: the write bound of 5 s (both came within 0.5 s of their start) and the stall bound (the same). A request whose value flows is settled at that value's end. The second: brain.rs struck the attempt off its gate at the first byte, but nobody who waited for the place was let in; 100 readers that take nothing then kept the next one out.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -660,7 +660,8 @@
         elapsed: Duration,
         hit: Option<bool>,
     ) {
-        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none());
+        // Guards against: a large value cut off, since the end of an attempt that came second ends its request.
+        let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !open.flows);
         let elapsed = elapsed.as_micros() as Micros;
         let end = AttemptEnd { elapsed, settled, hit, ..AttemptEnd::new(id, attempt, outcome) };
         self.events.push_back(Event::Outcome(end));
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -33,6 +33,10 @@
     pub fn answer(&mut self, bytes: impl AsRef<[u8]>) {
         self.stream.write_all(bytes.as_ref()).unwrap();
     }
+    /// Answers one that may have hung up.
+    pub fn try_answer(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes)
+    }
     pub fn value(mut self, value: &str) {
         if let Some((opcode, _)) = self.packet {
             let extras: &'static [u8] = if opcode == Opcode::Get as u8 { &[0; 4] } else { &[] };
@@ -296,6 +300,7 @@
     pub known: &'a str,
     pub discovery: SocketAddr,
     pub sockets: usize,
+    pub memory_mb: usize,
     pub settings: &'a str,
     pub shell: &'a str,
 }
@@ -308,7 +313,7 @@
 
 impl<'a> Start<'a> {
     pub fn new(known: &'a str, discovery: SocketAddr) -> Self {
-        Start { known, discovery, sockets: 1024, settings: SETTINGS, shell: "exec \"$0\"" }
+        Start { known, discovery, sockets: 1024, memory_mb: 192, settings: SETTINGS, shell: "exec \"$0\"" }
     }
 
     pub fn node(self) -> Node {
@@ -323,9 +328,9 @@
     }
 
     fn command(self) -> (String, Command) {
-        let Start { known, discovery, sockets, settings, shell } = self;
+        let Start { known, discovery, sockets, memory_mb, settings, shell } = self;
         let config = format!(
-            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            r#"{{"name":"n0","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{known},"settings":{settings}}}"#
         );
         let mut command = program(shell);
         command.env("EDGE_LISTEN", "127.0.0.1:0").env("EDGE_DISCOVERY", discovery.to_string());
@@ -420,6 +425,11 @@
         self.addr
     }
 
+    /// The process's number.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Where it listens for memcached; waits for the line of the log that tells it.
     pub fn memcached(&self) -> SocketAddr {
         let line = self.logged("is listening on");
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -124,6 +124,7 @@
                     let to = r.tries[attempt].server;
                     self.strike_off(id, attempt, to);
                     self.cancel(id, Some(attempt), out);
+                    [CACHES, ORIGIN].into_iter().for_each(|gate| self.admit_queued(gate, out));
                 }
             }
             Event::ClientGone(id) => self.end(id, out),
