Count a cache as avoided only once nothing was sent there for half a second

Cause: driver.rs count took every cache that the module suspects, also for one overdue attempt while others go there. Ruled out: a lag of the count (0.3 s) and drained caches (none drained then).

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -28,6 +28,8 @@
     origin: bool,
     kind: Arc<str>,
     standing: Standing,
+    /// When something was last sent there.
+    sent: Option<Instant>,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, C)>,
 }
@@ -106,6 +108,7 @@
             origin,
             kind: entry.kind.as_str().into(),
             standing: Standing::new(),
+            sent: None,
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -162,6 +165,7 @@
     pub fn check_out(&mut self, id: ServerId, now: Instant, opening: Opening) -> Option<(Target, Option<C>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
+        server.sent = Some(now);
         let mut pooled = None;
         while let Some(place) = server.idle.iter().rposition(|(since, _)| now >= *since + REST) {
             let (since, connection) = server.idle.remove(place);
@@ -199,10 +203,10 @@
         }
     }
 
-    /// The caches, and whether each serves.
-    pub fn caches(&self) -> impl Iterator<Item = (ServerId, bool)> {
+    /// The caches, whether each serves, and when something was last sent there.
+    pub fn caches(&self) -> impl Iterator<Item = (ServerId, bool, Option<Instant>)> {
         let caches = self.servers.iter().filter(|(_, server)| !server.origin);
-        caches.map(|(id, server)| (*id, server.standing.serving()))
+        caches.map(|(id, server)| (*id, server.standing.serving(), server.sent))
     }
 
     /// Of each server by name: its id, whether it serves, and how many connections rest there.
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -45,6 +45,8 @@
 /// How often it is counted which caches are avoided, and for how many of them once in that time.
 const COUNT: Duration = Duration::from_millis(300);
 const COUNTED: u32 = 1000;
+/// A cache that is left out and was sent nothing for so long is avoided.
+const AVOIDED: Duration = Duration::from_millis(500);
 /// Servers whose news is logged one by one; of more, the count.
 const NAMED: usize = 12;
 
@@ -378,15 +380,18 @@
         }
     }
 
-    /// Counts the caches of the list, and those of them that get nothing now but perhaps a try: drained, or left out
-    /// by the module. Tells how many there are.
+    /// Counts the caches of the list, and those of them that are avoided: drained, or left out by the module and sent
+    /// nothing for a while. Tells how many there are.
+    ///
+    /// Guards against: caches counted as avoided for one attempt that is overdue, while others go there.
     fn count(&self) -> usize {
-        let (mut known, mut skipped) = (0, 0);
-        for (id, serves) in self.directory.caches() {
+        let (mut known, mut skipped, now) = (0, 0, Instant::now());
+        for (id, serves, sent) in self.directory.caches() {
             known += 1;
             let left_out =
                 || self.balancer.server(id).is_some_and(|view| view.cut_off || view.silent.is_some());
-            skipped += usize::from(!serves || left_out());
+            let tried = sent.is_some_and(|sent| now < sent + AVOIDED);
+            skipped += usize::from(!serves || !tried && left_out());
         }
         self.book.caches(known, skipped);
         known
