Hand the list, what was learned and a share of all bounds to the process that follows

Need: a second process knew the list the platform last had, which may be old, and nothing else; two together could hold twice the bounds. Change: crates/handover (messages with checksums, a tie that says who may use what), its I/O in a socket and a lock in the shared folder, paddlefold::Learned beside the policy files, a portion of all bounds in core and fronts.

Tests: a drain told to the old process alone is kept by the new one from its first moment; either killed at any time; one stopped in the midst; a second upgrade behind the first; rubbish in the folder and none; strangers at the socket.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -24,6 +24,8 @@
 
 struct Server<C> {
     name: String,
+    /// As the list has it.
+    entry: Entry,
     addr: SocketAddr,
     origin: bool,
     kind: Arc<str>,
@@ -103,7 +105,8 @@
             State::Deleted => MemberState::Removed,
         };
         let server = self.servers.entry(id).or_insert_with(|| Server {
-            name: entry.id,
+            name: entry.id.clone(),
+            entry: entry.clone(),
             addr: entry.addr,
             origin,
             kind: entry.kind.as_str().into(),
@@ -112,6 +115,7 @@
             idle: Vec::new(),
         });
         server.origin = origin;
+        server.entry = entry.clone();
         // Another kind of machine may speak another protocol.
         if server.addr != entry.addr || *server.kind != *entry.kind {
             (server.addr, server.kind) = (entry.addr, entry.kind.as_str().into());
@@ -203,6 +207,11 @@
         }
     }
 
+    /// The list, as it was told.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.servers.values().map(|server| server.entry.clone()).collect()
+    }
+
     /// The caches, whether each serves, and when something was last sent there.
     pub fn caches(&self) -> impl Iterator<Item = (ServerId, bool, Option<Instant>)> {
         let caches = self.servers.iter().filter(|(_, server)| !server.origin);
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -14,7 +14,8 @@
 use lilacquay_steer::{Ask, Done, Kept, Refusal};
 use paddlefold::setup::Setup;
 use paddlefold::{
-    Action, AttemptEnd, Balancer, Event, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
+    Action, AttemptEnd, Balancer, Event, Learned, ListScope, Micros, Outcome, Request, RequestId, ServerId,
+    TimerToken,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot};
@@ -31,6 +32,7 @@
 use crate::flow::{Begun, Opening};
 use crate::governor::Governor;
 use crate::members::{List, Members};
+use crate::portion::Portion;
 use crate::requests::Requests;
 use crate::steering::{Holding, ServerNow, Steering};
 use crate::upstream::{Reply, Target, Upstream};
@@ -57,7 +59,8 @@
 pub(crate) enum Message {
     Arrived(Arrival),
     Gone(RequestId),
-    List(List, &'static str),
+    List(List, &'static str, Option<u64>),
+    HandOver(oneshot::Sender<Heritage>),
     ListFailed,
     Quotas(Box<Admission>),
     Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
@@ -150,6 +153,12 @@
     pub quotas: Option<Admission>,
     /// What is counted of its work.
     pub book: Book,
+    /// The list's version, where it came from one before this process.
+    pub version: Option<u64>,
+    /// What one before this process has learned.
+    pub learned: Option<Learned>,
+    /// The part of all bounds that is this process's.
+    pub portion: Portion,
     /// Where operators may order servers away: the orders that lasted over a restart.
     pub steered: Option<Vec<Kept>>,
 }
@@ -164,6 +173,17 @@
     pub orders: Orders,
 }
 
+/// What one process hands to the next.
+#[derive(Debug, Clone)]
+pub struct Heritage {
+    /// The version of the list, where its source has one.
+    pub version: Option<u64>,
+    /// The whole list.
+    pub list: List,
+    /// What the module has learned.
+    pub learned: Learned,
+}
+
 /// By which a running core is told what changes.
 #[derive(Clone)]
 pub struct Orders(UnboundedSender<Message>);
@@ -203,6 +223,13 @@
         Watching(self.0.clone())
     }
 
+    /// What another process needs to go on in this one's place. A core that has ended answers nothing.
+    pub fn hand_over(&self) -> oneshot::Receiver<Heritage> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::HandOver(answer)); // its end shows at the receiver
+        told
+    }
+
     /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
     pub fn holding(&self) -> oneshot::Receiver<Holding> {
         let (answer, told) = oneshot::channel();
@@ -230,6 +257,10 @@
     steering: Option<Steering>,
     watched: Watched,
     book: Book,
+    /// The version of the list, where its source has one.
+    version: Option<u64>,
+    /// The part of all bounds that is this process's.
+    portion: Portion,
     directory: Directory<U::Connection>,
     open: HashMap<RequestId, Open>,
     /// Attempts under way: each holds a connection, or is making one.
@@ -266,6 +297,8 @@
                 options.book.tries(),
             ),
             book: options.book,
+            version: options.version,
+            portion: options.portion.clone(),
             balancer: Balancer::new(settings, options.seed, clock.now()),
             setup: options.setup,
             quotas: options.quotas,
@@ -293,8 +326,12 @@
         driver.list(List { full: true, ..options.known });
         driver.directory.take_news(); // what is known from the start is none
         driver.decide();
+        if let Some(learned) = &options.learned {
+            driver.balancer.resume(learned);
+        }
         driver.count();
-        let (requests, orders) = (Requests::new(to.clone(), options.memory), Orders(to.clone()));
+        let (requests, orders) =
+            (Requests::new(to.clone(), options.memory, options.portion), Orders(to.clone()));
         (driver, Handles { requests, members: Members { to, source: "configuration", asked }, orders })
     }
 
@@ -325,10 +362,12 @@
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Gone(id) => self.gone(id),
-            Message::List(list, source) => {
+            Message::List(list, source, version) => {
                 self.watched.list_told(source);
+                self.version = version;
                 self.list(list);
             }
+            Message::HandOver(answer) => drop(answer.send(self.heritage())), // who asked may have left
             Message::Watch(more) => self.watched.watch(more),
             Message::Look(answer) => drop(answer.send(self.look())), // who asked may have left
             Message::Quotas(new) => {
@@ -429,6 +468,11 @@
     }
 
     /// Walks over all that is open: asked by an operator, not by each request.
+    fn heritage(&self) -> Heritage {
+        let list = List { full: true, servers: self.directory.entries() };
+        Heritage { version: self.version, list, learned: self.balancer.learned() }
+    }
+
     fn servers(&self, steering: &Steering) -> Vec<ServerNow> {
         let mut out: HashMap<ServerId, usize> = HashMap::new();
         for running in self.open.values().flat_map(|open| open.attempts.iter().flatten()) {
@@ -539,10 +583,11 @@
         let place = self.directory.check_out(server, now, opening).filter(|(_, pooled)| {
             let held = self.running + self.directory.idle();
             self.gauges.connections.store(held, Ordering::Relaxed);
-            if pooled.is_none() && held >= self.connections {
+            let most = self.portion.of(self.connections);
+            if pooled.is_none() && held >= most {
                 self.directory.close_oldest();
             }
-            pooled.is_some() || self.running < self.connections
+            pooled.is_some() || self.running < most
         });
         let Some((target, pooled)) = place else {
             open.attempts.push(None);
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -67,7 +67,12 @@
 
     /// Tells a list. False once the core has ended.
     pub fn list(&self, list: List) -> bool {
-        self.to.send(Message::List(list, self.source)).is_ok()
+        self.to.send(Message::List(list, self.source, None)).is_ok()
+    }
+
+    /// Tells a list with the version from which its source goes on. False once the core has ended.
+    pub fn list_at(&self, list: List, version: u64) -> bool {
+        self.to.send(Message::List(list, self.source, Some(version))).is_ok()
     }
 
     /// Tells that a call for the list failed, or that the subscription broke; the list held stays. False once
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -14,6 +14,7 @@
 
 use crate::call::{Answer, Call};
 use crate::driver::{Arrival, Message};
+use crate::portion::Portion;
 
 /// What an open request is reckoned to hold in memory beside its command, in bytes.
 const PER_REQUEST: usize = 4 << 10;
@@ -27,6 +28,7 @@
     /// Bytes held by open requests.
     held: Arc<AtomicUsize>,
     memory: usize,
+    portion: Portion,
 }
 
 /// A request with this id is open.
@@ -34,9 +36,9 @@
 pub struct InUse;
 
 impl Requests {
-    pub(crate) fn new(to: UnboundedSender<Message>, memory: usize) -> Self {
+    pub(crate) fn new(to: UnboundedSender<Message>, memory: usize, portion: Portion) -> Self {
         let (next_id, open_ids, held) = Default::default();
-        Requests { to, next_id, open_ids, held, memory }
+        Requests { to, next_id, open_ids, held, memory, portion }
     }
 
     /// Opens a request whose last byte was read `at` that time and which came as so many bytes.
@@ -57,7 +59,7 @@
     /// Whether open requests leave memory for more. A front should read on only then, but for one request of
     /// each connection.
     pub fn have_room(&self) -> bool {
-        self.held.load(Ordering::Relaxed) < self.memory
+        self.held.load(Ordering::Relaxed) < self.portion.of(self.memory)
     }
 }
 
--- a/crates/core/tests/steering.rs
+++ b/crates/core/tests/steering.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use lilacquay_core::{
     Answer, Call, Connection, Driver, Entry, Handles, List, Made, Members, Options, Orders, Outcome, Pending,
-    Reply, Requests, State, Target, Upstream,
+    Portion, Reply, Requests, State, Target, Upstream,
 };
 use lilacquay_steer::{Ask, Done, Kept, Order, Refusal};
 use paddlefold::setup::{Setup, Stated};
@@ -62,7 +62,20 @@
         let known = List { full: true, servers };
         let (connections, memory) = (1000, 8 << 20);
         let book = lilacquay_figures::Book::new(Vec::new());
-        let options = Options { setup, seed: 1, known, connections, memory, quotas: None, book, steered };
+        let portion = Portion::default();
+        let options = Options {
+            setup,
+            seed: 1,
+            known,
+            connections,
+            memory,
+            quotas: None,
+            book,
+            version: None,
+            learned: None,
+            portion,
+            steered,
+        };
         let (to, asked) = mpsc::unbounded_channel();
         let (driver, Handles { requests, members, orders }) = Driver::new(options, Scripted(to));
         tokio::spawn(driver.run());
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lilacquay_core::{Gauges, Requests};
+use lilacquay_core::{Gauges, Portion, Requests};
 use lilacquay_life::Bearing;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -29,13 +29,15 @@
     pub gauges: Arc<Gauges>,
     /// Bytes for buffers that are not small.
     pub memory: usize,
+    /// The part of these that is this process's.
+    pub portion: Portion,
 }
 
 impl Bounds {
     /// How many connections from clients there may be now.
     fn limit(&self) -> usize {
-        let free = self.with_servers.saturating_sub(self.gauges.connections());
-        self.connections.max(free)
+        let free = self.portion.of(self.with_servers).saturating_sub(self.gauges.connections());
+        self.portion.of(self.connections).max(free)
     }
 }
 
@@ -104,6 +106,11 @@
         }
     }
 
+    /// How many connections there are.
+    pub fn guests(&self) -> usize {
+        self.0.sessions.len()
+    }
+
     /// Waits until no connection is left, once none is taken any more.
     pub async fn emptied(&self) {
         self.0.sessions.close();
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Bytes, BytesMut};
 use lilacquay_core::{
-    Answer, Call, Connection, Driver, Entry, Gauges, Handles, List, Made, Options, Outcome, Reply, State,
-    Target, Upstream,
+    Answer, Call, Connection, Driver, Entry, Gauges, Handles, List, Made, Options, Outcome, Portion, Reply,
+    State, Target, Upstream,
 };
 use lilacquay_fronts::resp::Resp;
 use lilacquay_fronts::{Bounds, Hall, Input, Malformed, Parting, Protocol, Refusal};
@@ -141,11 +141,16 @@
             memory: 8 << 20,
             quotas: None,
             book: lilacquay_figures::Book::new(Vec::new()),
+            version: None,
+            learned: None,
+            portion: Portion::default(),
             steered: None,
         };
         let (driver, Handles { requests, members, .. }) = Driver::new(options, Scripted(to));
         let gauges = driver.gauges();
-        let bounds = Bounds { connections, with_servers: 0, gauges: gauges.clone(), memory: 8 << 20 };
+        let portion = Portion::default();
+        let bounds =
+            Bounds { connections, with_servers: 0, gauges: gauges.clone(), memory: 8 << 20, portion };
         let (bearing, told) = watch::channel(Bearing { accepts: true, says_yes: true, ..Bearing::default() });
         let hall = Hall::new(requests, bounds, told);
         tokio::spawn(async move {
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::{fmt, fs, io};
 
-use lilacquay_core::{Gauges, List};
+use lilacquay_core::{Gauges, List, Portion};
 use lilacquay_etcd::Settings;
 use lilacquay_fronts::Bounds;
 use lilacquay_inherit::{PassedError, number};
@@ -61,6 +61,8 @@
     pub listen: SocketAddr,
     /// The listening socket, where the platform holds it.
     pub passed: Option<Passed>,
+    /// The folder that all processes of the node share.
+    pub shared_folder: Option<PathBuf>,
     /// The second address, for whoever runs the node.
     pub admin: Option<SocketAddr>,
     /// Whether the figures there are Prometheus' text.
@@ -344,6 +346,7 @@
         Ok(Config {
             listen,
             passed: passed.map(Passed),
+            shared_folder: env::var_os("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from),
             admin,
             prometheus: said.is_some_and(|said| said.prometheus),
             discovery,
@@ -423,9 +426,10 @@
 
     /// What clients may hold: a third of the descriptors, and more while servers need fewer, with some left
     /// for those to come.
-    pub fn client_bounds(&self, gauges: Arc<Gauges>) -> Bounds {
+    pub fn client_bounds(&self, gauges: Arc<Gauges>, portion: Portion) -> Bounds {
         let with_servers = (self.sockets - self.sockets / 8).saturating_sub(self.reserved());
-        Bounds { connections: self.sockets / 3, with_servers, gauges, memory: self.request_memory() }
+        let memory = self.request_memory();
+        Bounds { connections: self.sockets / 3, with_servers, gauges, memory, portion }
     }
 
     /// Bytes that open requests may hold: an eighth of the memory, as buffers may that are not small.
@@ -438,6 +442,11 @@
         (self.sockets - self.sockets / 3).saturating_sub(self.reserved()).max(1)
     }
 
+    /// Connections that it may hold in all.
+    pub fn connections(&self) -> usize {
+        self.sockets.saturating_sub(self.reserved()).max(1)
+    }
+
     fn reserved(&self) -> usize {
         RESERVED + if self.admin.is_some() { ADMIN } else { 0 }
     }
--- /dev/null
+++ b/crates/lilacquay/src/handover.rs
@@ -0,0 +1,373 @@
+//! The I/O of a hand-over: a socket and a lock in the folder that the processes of a node share, through which the one
+//! that runs and the one that is started beside it meet. Who may use what, the [`Tie`] decides.
+//!
+//! The lock tells whether any other process of the node lives: each holds it shared, and only one that is alone gets
+//! it whole. The kernel lets go of it whatever way a process ends. The socket is of the process that has no elder.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use lilacquay_core::{Heritage, Learned, List, Orders, Portion, State};
+use lilacquay_handover::form::{self, Come, Message};
+use lilacquay_handover::tie::{Above, Action, Event, Tie};
+use lilacquay_life::Bearing;
+use lilacquay_members::discovery::Told;
+use rustix::fs::{FlockOperation, flock};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::watch;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
+use tracing::{info, warn};
+
+/// An elder that has not told all after so long does not answer.
+const ANSWER: Duration = Duration::from_secs(1);
+/// One that must wait for its turn asks again after this ...
+const AGAIN: Duration = Duration::from_millis(50);
+/// ... and no longer than this: the platform waits 6 s for a yes.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// How often it is looked at what is held, and who has died.
+const LOOK: Duration = Duration::from_millis(50);
+/// The forms of the parts.
+const LIST: u32 = 1;
+const LEARNED: u32 = 1;
+
+/// Where the processes of a node meet.
+#[derive(Debug, Clone)]
+pub struct Place {
+    socket: PathBuf,
+    lock: PathBuf,
+}
+
+impl Place {
+    /// For a node that listens at this port, in a folder that all its processes share.
+    pub fn new(folder: PathBuf, port: u16) -> Place {
+        let file = |ending: &str| folder.join(format!("lilacquay-{port}.{ending}"));
+        Place { socket: file("next"), lock: file("lock") }
+    }
+
+    fn lock(&self) -> io::Result<File> {
+        OpenOptions::new().create(true).truncate(false).write(true).open(&self.lock)
+    }
+}
+
+/// What came from the process before.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// The list, and the version from which its source goes on.
+    pub list: Option<(List, Option<u64>)>,
+    /// What was learned.
+    pub learned: Option<Learned>,
+}
+
+/// A process's side of the tie.
+pub struct Succession {
+    place: Place,
+    tie: Tie,
+    portion: Portion,
+    /// Held as long as the process lives.
+    lock: File,
+    elder: Option<Peer>,
+    heir: Option<Peer>,
+    listener: Option<UnixListener>,
+}
+
+/// The other end of a tie.
+struct Peer {
+    stream: UnixStream,
+    pid: i32,
+    buffer: BytesMut,
+    /// Its connection has ended, which is no proof that it is dead.
+    ended: bool,
+}
+
+impl Peer {
+    fn new(stream: UnixStream) -> io::Result<Peer> {
+        let pid = stream.peer_cred()?.pid().ok_or(io::ErrorKind::Unsupported)?;
+        Ok(Peer { stream, pid, buffer: BytesMut::new(), ended: false })
+    }
+
+    async fn say(&mut self, message: &Message) -> io::Result<()> {
+        let mut text = BytesMut::new();
+        form::put(message, &mut text);
+        timeout(ANSWER, self.stream.write_all(&text)).await?
+    }
+
+    /// The next message; what is declined is passed over, and said.
+    async fn hear(&mut self) -> io::Result<Message> {
+        loop {
+            match form::next(&mut self.buffer) {
+                Ok(Some(Come::Said(message))) => return Ok(message),
+                Ok(Some(Come::Declined(why))) => warn!("a part of the hand-over is declined: {why}"),
+                Ok(None) => {
+                    if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                Err(form::Malformed) => return Err(io::ErrorKind::InvalidData.into()),
+            }
+        }
+    }
+
+    /// Whether the process has ended, also if nobody has waited for it yet.
+    fn is_dead(&self) -> bool {
+        let Ok(stat) = std::fs::read_to_string(format!("/proc/{}/stat", self.pid)) else { return true };
+        let state = stat.rsplit(')').next().and_then(|rest| rest.trim_start().chars().next());
+        matches!(state, Some('Z' | 'X') | None)
+    }
+}
+
+impl Succession {
+    /// Meets the process before, if there is one, and takes what it hands over.
+    ///
+    /// # Errors
+    /// If the folder can't be used. Then nothing passes, and nobody can be met.
+    pub async fn begin(place: Place, portion: Portion) -> io::Result<(Succession, Received)> {
+        let lock = place.lock()?;
+        let (tie, elder, heir, listener) = Default::default();
+        let mut this = Succession { place, tie, portion, lock, elder, heir, listener };
+        let (until, mut received) = (Instant::now() + PATIENCE, Received::default());
+        loop {
+            if this.is_alone() {
+                this.on(Event::Alone).await;
+                break;
+            }
+            match timeout(ANSWER, this.ask()).await {
+                Ok(Ok(Some(told))) => {
+                    received = told;
+                    break;
+                }
+                // Told to wait, or nobody listens yet.
+                Ok(Ok(None) | Err(_)) if Instant::now() < until => sleep(AGAIN).await,
+                Ok(_) | Err(_) => {
+                    warn!(
+                        "another process of this node lives and hands nothing over: served with what is kept for that"
+                    );
+                    this.on(Event::Unanswered).await;
+                    break;
+                }
+            }
+        }
+        Ok((this, received))
+    }
+
+    /// Whether no other process of the node lives; from then on others see that this one does.
+    fn is_alone(&self) -> bool {
+        let alone = flock(&self.lock, FlockOperation::NonBlockingLockExclusive).is_ok();
+        // Refused only while another looks as well; it is looked at again.
+        let shown = flock(&self.lock, FlockOperation::NonBlockingLockShared).is_ok();
+        alone && shown
+    }
+
+    /// Asks whoever listens. Nothing if it is told to wait.
+    async fn ask(&mut self) -> io::Result<Option<Received>> {
+        let mut peer = Peer::new(UnixStream::connect(&self.place.socket).await?)?;
+        let build = env!("CARGO_PKG_VERSION").to_owned();
+        peer.say(&Message::Asks { pid: std::process::id(), build }).await?;
+        let mut received = Received::default();
+        loop {
+            match peer.hear().await? {
+                Message::Wait => return Ok(None),
+                Message::Taken { build, .. } => {
+                    info!("process {} of build {build} hands over", peer.pid);
+                    self.on(Event::Tied).await;
+                }
+                Message::Part { name, version, body } => received.take(&name, version, body),
+                Message::Grant(all) => self.on(Event::Granted(all)).await,
+                // With nothing granted it could serve nobody: the elder lets go of something first.
+                Message::Whole if self.tie.limit() > 0 => {
+                    self.elder = Some(peer);
+                    return Ok(Some(received));
+                }
+                Message::Whole | Message::Asks { .. } => {}
+            }
+        }
+    }
+
+    async fn on(&mut self, event: Event) {
+        for action in self.tie.on(event) {
+            if let (Action::Grant(all), Some(heir)) = (action, &mut self.heir) {
+                // One that is gone is found dead later; its part comes back then.
+                let _ = heir.say(&Message::Grant(all)).await;
+            }
+        }
+        self.portion.set(self.tie.limit());
+    }
+
+    /// Keeps the tie for as long as the process runs; ends only with it. `holds` tells what it holds, in thousandths.
+    pub async fn keep(
+        mut self,
+        orders: Orders,
+        holds: impl Fn() -> u32 + Send,
+        mut bearing: watch::Receiver<Bearing>,
+    ) {
+        let (mut stopping, mut looks) = (false, interval(LOOK));
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            if self.tie.above() == Above::Nobody && self.listener.is_none() && !stopping {
+                self.listen();
+            }
+            tokio::select! {
+                _ = looks.tick() => {
+                    self.on(Event::Holds(holds())).await;
+                    self.look().await;
+                }
+                Ok(stream) = accept(&self.listener) => self.asked(stream, &orders).await,
+                message = hear(&mut self.elder) => match message {
+                    Ok(Message::Grant(all)) => self.on(Event::Granted(all)).await,
+                    Ok(_) => {}
+                    Err(_) => if let Some(elder) = &mut self.elder {
+                        elder.ended = true;
+                    }
+                },
+                _ = hear(&mut self.heir) => if let Some(heir) = &mut self.heir {
+                    heir.ended = true; // it has nothing more to say
+                },
+                Ok(()) = bearing.changed() => {
+                    let now = *bearing.borrow();
+                    // Life says of a process that finishes that it takes nobody, while the pair does.
+                    if !stopping && !now.accepts {
+                        stopping = true;
+                        self.on(Event::Stop).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Looks for the dead. Also one whose elder never answered learns here that it is alone.
+    async fn look(&mut self) {
+        if self.heir.as_ref().is_some_and(|heir| heir.ended && heir.is_dead()) {
+            info!("the process that was to follow has ended");
+            self.heir = None;
+            self.on(Event::HeirDied).await;
+        }
+        if self.elder.as_ref().is_some_and(|elder| elder.ended && elder.is_dead()) {
+            info!("the process before has ended: all is this one's");
+            self.elder = None;
+            self.on(Event::Alone).await;
+        }
+        if self.tie.above() == Above::Untied && self.is_alone() {
+            self.on(Event::Alone).await;
+        }
+    }
+
+    /// Takes the place where the next process asks; what is left there is of the dead.
+    fn listen(&mut self) {
+        let fresh = self.place.socket.with_extension("new");
+        let _ = std::fs::remove_file(&fresh); // may not be there
+        let bound = UnixListener::bind(&fresh);
+        let listener = bound.and_then(|listener| {
+            std::fs::rename(&fresh, &self.place.socket)?;
+            Ok(listener)
+        });
+        match listener {
+            Ok(listener) => self.listener = Some(listener),
+            Err(error) => warn!("no process can take over from this one: {error}; make {:?} writable", fresh),
+        }
+    }
+
+    /// Somebody asks to follow.
+    async fn asked(&mut self, stream: UnixStream, orders: &Orders) {
+        let Ok(mut peer) = Peer::new(stream) else { return };
+        match timeout(ANSWER, peer.hear()).await {
+            Ok(Ok(Message::Asks { build, .. })) => {
+                info!("process {} of build {build} asks to follow", peer.pid)
+            }
+            _ => return, // one that says nothing of use
+        }
+        let actions = self.tie.on(Event::HeirAsks);
+        if !actions.contains(&Action::Take) {
+            let _ = peer.say(&Message::Wait).await; // it asks again, or has gone
+            return;
+        }
+        let told = self.hand_over(&mut peer, &actions, orders).await;
+        if let Err(error) = told {
+            warn!("handing over: {error}");
+        }
+        self.heir = Some(peer); // whatever it has understood: what it was granted comes back once it is dead
+        self.portion.set(self.tie.limit());
+    }
+
+    async fn hand_over(&self, heir: &mut Peer, actions: &[Action], orders: &Orders) -> io::Result<()> {
+        let build = env!("CARGO_PKG_VERSION").to_owned();
+        heir.say(&Message::Taken { pid: std::process::id(), build }).await?;
+        for action in actions {
+            if let Action::Grant(all) = action {
+                heir.say(&Message::Grant(*all)).await?;
+            }
+        }
+        if let Ok(Ok(heritage)) = timeout(ANSWER, orders.hand_over()).await {
+            for (name, version, body) in parts(&heritage) {
+                heir.say(&Message::Part { name: name.into(), version, body }).await?;
+            }
+        }
+        heir.say(&Message::Whole).await
+    }
+}
+
+impl Received {
+    fn take(&mut self, name: &str, version: u32, body: Value) {
+        let taken = match name {
+            "list" => form::part::<Told>(version, LIST, body.clone()).map(|told| {
+                let known = body["version"].as_u64();
+                self.list = Some((List { full: true, ..told.list }, known));
+            }),
+            "learned" => form::part(version, LEARNED, body).map(|learned| self.learned = Some(learned)),
+            _ => Err("not known here".into()),
+        };
+        if let Err(why) = taken {
+            warn!("{name:?} of the hand-over is declined: {why}");
+        }
+    }
+}
+
+fn parts(heritage: &Heritage) -> [(&'static str, u32, Value); 2] {
+    let servers = heritage.list.servers.iter().map(|server| {
+        let state = match server.state {
+            State::Serving => "SERVING",
+            State::Draining => "DRAINING",
+            State::Deleted => "DELETED",
+        };
+        json!({
+            "id": server.id, "addr": server.addr, "zone": server.zone, "kind": server.kind, "cell": server.cell,
+            "state": state, "weight": server.weight, "started_ms": server.started_ms,
+        })
+    });
+    let servers: Vec<Value> = servers.collect();
+    let list = json!({ "version": heritage.version, "full": true, "servers": servers });
+    // A part that can't be worded is none, and declined.
+    [("list", LIST, list), ("learned", LEARNED, serde_json::to_value(&heritage.learned).unwrap_or_default())]
+}
+
+async fn accept(listener: &Option<UnixListener>) -> io::Result<UnixStream> {
+    match listener {
+        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
+        None => std::future::pending().await,
+    }
+}
+
+async fn hear(peer: &mut Option<Peer>) -> io::Result<Message> {
+    match peer {
+        Some(peer) if !peer.ended => peer.hear().await,
+        _ => std::future::pending().await,
+    }
+}
+
+/// Meets the process before, within a bound on the whole of it; without a folder there is nobody to meet.
+pub async fn begin(place: Option<Place>, portion: &Portion) -> (Option<Succession>, Received) {
+    let Some(place) = place else { return Default::default() };
+    let began =
+        timeout_at(Instant::now() + PATIENCE + ANSWER, Succession::begin(place, portion.clone())).await;
+    match began {
+        Ok(Ok((succession, received))) => (Some(succession), received),
+        Ok(Err(error)) => {
+            warn!("nothing is handed over: {error}; have TMPDIR name a folder that all processes may write");
+            Default::default()
+        }
+        Err(_) => Default::default(),
+    }
+}
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod etcd;
 mod fleet;
+mod handover;
 mod keeper;
 mod load;
 mod logging;
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -7,7 +7,7 @@
 
 use lilacquay_admin::Admin;
 use lilacquay_control::{Command, Control, Folder, Host, Outcome};
-use lilacquay_core::{Driver, Handles, List, Members, Options, Orders};
+use lilacquay_core::{Driver, Handles, List, Members, Options, Orders, Portion};
 use lilacquay_etcd::Settings;
 use lilacquay_figures::Book;
 use lilacquay_fronts::Hall;
@@ -27,6 +27,7 @@
 use crate::admin::Desk;
 use crate::config::{Config, Source};
 use crate::etcd::Etcd;
+use crate::handover::{self, Place};
 use crate::keeper::Keeper;
 use crate::logging::Logging;
 use crate::memcached::Memcached;
@@ -80,7 +81,16 @@
     let keeper = Keeper::new(Duration::from_micros(config.setup.longest_deadline), config.passed.is_some());
     let book = Book::new(config.setup.names.all_classes());
     let (connections, memory) = (config.server_connections(), config.request_memory());
-    let known = config.known.list.clone();
+    let portion = Portion::default();
+    let place = config.passed.as_ref().and_then(|_| config.shared_folder.clone());
+    let place = place.map(|folder| Place::new(folder, config.listen.port()));
+    let (succession, received) = handover::begin(place, &portion).await;
+    // What the process before goes by is newer than what the platform last knew.
+    let (known, version) = match received.list {
+        Some((list, version)) => (list, version),
+        None => (config.known.list.clone(), Some(config.known.version)),
+    };
+    let version = version.filter(|_| !known.servers.is_empty());
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
     let options = Options {
         setup: config.setup.clone(),
@@ -90,6 +100,9 @@
         memory,
         quotas,
         book: book.clone(),
+        version,
+        learned: received.learned,
+        portion: portion.clone(),
         steered,
     };
     let names = config.setup.names.clone();
@@ -97,7 +110,7 @@
     let servers = Servers::new(kinds.unwrap_or_default());
     let (driver, Handles { requests, members, orders }) = Driver::new(options, servers);
     let gauges = driver.gauges();
-    let hall = Hall::new(requests, config.client_bounds(gauges.clone()), keeper.bearing());
+    let hall = Hall::new(requests, config.client_bounds(gauges.clone(), portion), keeper.bearing());
     let mut fronts = Vec::new();
     for listener in config.memcached.iter().flat_map(|(_, ready)| &ready.listeners) {
         fronts.push((bind(listener.address).await?, listener));
@@ -135,7 +148,12 @@
         let desk = Desk { keeper: keeper.clone(), book, prometheus: config.prometheus, audit };
         parts.spawn(Admin::new(second, desk).run());
     }
-    let followed = Followed::start(members, orders, &config, &mut parts);
+    if let Some(succession) = succession {
+        let (hall, gauges, most) = (hall.clone(), gauges.clone(), config.connections());
+        let holds = move || ((hall.guests() + gauges.connections()) * 1000 / most) as u32;
+        parts.spawn(succession.keep(orders.clone(), holds, keeper.bearing()));
+    }
+    let followed = Followed::start(members, orders, version, &config, &mut parts);
     let told = Told { commands, keeper: keeper.clone(), logging };
     let told = told.follow(followed, reload, source);
     tokio::pin!(told);
@@ -246,8 +264,15 @@
 
 impl Followed {
     /// Starts the sources. Where there are two, etcd goes before discovery: its first list ends that.
-    fn start(members: Members, orders: Orders, config: &Config, parts: &mut JoinSet<()>) -> Followed {
-        let known = Some(config.known.version).filter(|_| !config.known.list.servers.is_empty());
+    ///
+    /// `known`: the version of the list that the core has.
+    fn start(
+        members: Members,
+        orders: Orders,
+        known: Option<u64>,
+        config: &Config,
+        parts: &mut JoinSet<()>,
+    ) -> Followed {
         let nodes = config.setup.settings.nodes;
         let discovery = config.discovery.map(|at| {
             let (to, address) = watch::channel(at);
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -136,6 +136,10 @@
     pub fn called(&self) -> Option<Call> {
         self.calls.try_recv().ok()
     }
+    /// Whether a call that is so has come; those before it are passed over.
+    pub fn called_with(&self, so: impl Fn(&Call) -> bool) -> bool {
+        std::iter::from_fn(|| self.called()).any(|call| so(&call))
+    }
     /// Waits until the node has closed a connection; tells which.
     pub fn closed(&self) -> usize {
         self.closed.recv_timeout(PATIENCE).expect("a connection closed")
@@ -262,6 +266,8 @@
     config: PathBuf,
     /// What it logs from its second line on; nothing if nobody reads it.
     log: Option<Receiver<String>>,
+    /// What it logged before that.
+    pub early: Vec<String>,
     _folder: Option<tempfile::TempDir>,
 }
 
@@ -321,7 +327,7 @@
         Node::run(&config, &mut command)
     }
 
-    /// A node with a second address, and more in its environment.
+    /// A node whose log is read, a second address, and more in its environment.
     pub fn operated(self, environment: &[(&str, String)]) -> (Node, SocketAddr) {
         let (config, mut command) = self.command();
         Node::with_admin(&config, command.envs(environment.iter().map(|(name, value)| (name, value))))
@@ -391,10 +397,16 @@
     ) -> (Node, BufReader<ChildStderr>) {
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut first = String::new();
-        log.read_line(&mut first).unwrap();
-        let addr = first.trim().rsplit_once("listening on ").expect(&first).1.parse().unwrap();
-        (Node { child, addr, config, log: None, _folder: folder }, log)
+        let mut early = Vec::new();
+        let addr = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "it ended: {early:?}");
+            if let Some((_, addr)) = line.trim().rsplit_once("listening on ") {
+                break addr.parse().unwrap();
+            }
+            early.push(line.trim().to_owned());
+        };
+        (Node { child, addr, config, log: None, early, _folder: folder }, log)
     }
 
     /// Waits for a line of the log with these words.
@@ -461,7 +473,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
--- /dev/null
+++ b/crates/lilacquay/tests/handover.rs
@@ -0,0 +1,224 @@
+//! A process is replaced beside itself: what the new one is told, and who holds what when one of them hangs or dies.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::{AsRawFd, OwnedFd};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use common::{Fake, Node, PATIENCE, Start, list};
+
+const FACTS: &str = "c=read,d=2000";
+
+/// A platform: it holds the socket, and the folder that all processes share.
+struct Platform {
+    listener: TcpListener,
+    passed: OwnedFd,
+    folder: tempfile::TempDir,
+    cache: Fake,
+    other: Fake,
+    origin: Fake,
+    discovery: Fake,
+}
+
+impl Platform {
+    fn new() -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let passed = rustix::io::dup(&listener).unwrap(); // inherited by programs that are executed
+        let (cache, other, origin, discovery) = (Fake::cache(), Fake::cache(), Fake::http(), Fake::http());
+        Platform { listener, passed, folder: tempfile::tempdir().unwrap(), cache, other, origin, discovery }
+    }
+
+    fn start(&self) -> (Node, SocketAddr) {
+        self.start_in(self.folder.path())
+    }
+
+    fn start_in(&self, folder: &Path) -> (Node, SocketAddr) {
+        let known = list(1, &[("c", self.cache.addr), ("other", self.other.addr)], self.origin.addr);
+        let environment = [
+            ("EDGE_PASSED_SOCKET", self.passed.as_raw_fd().to_string()),
+            ("TMPDIR", folder.to_string_lossy().into_owned()),
+            // Where the folder is used, the node is told where it listens: all its processes meet by that port.
+            ("EDGE_LISTEN", self.listener.local_addr().unwrap().to_string()),
+        ];
+        let (node, admin) = Start::new(&known, self.discovery.addr).operated(&environment);
+        until("it is ready", || say(admin, "HEALTH") == "ACK\n");
+        (node, admin)
+    }
+}
+
+fn say(admin: SocketAddr, call: &str) -> String {
+    let mut stream = TcpStream::connect(admin).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(format!("{call}\n").as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+fn figure(admin: SocketAddr, name: &str) -> i64 {
+    let dump = say(admin, "DUMP");
+    let line = dump.lines().find_map(|line| line.strip_prefix(&format!("edge_edge.{name}:")));
+    line.and_then(|line| line.split('|').next()?.parse().ok()).unwrap_or_else(|| panic!("{name} in {dump}"))
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "{what}");
+    }
+}
+
+/// Serves one request by whichever process takes it.
+fn served(platform: &Platform, at: &Node) {
+    let mut client = at.client();
+    client.get("k", FACTS);
+    let start = Instant::now();
+    let call = loop {
+        if let Some(call) = platform.cache.called().or_else(|| platform.other.called()) {
+            break call;
+        }
+        assert!(start.elapsed() < PATIENCE, "a call");
+    };
+    call.value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+#[test]
+fn the_next_process_goes_on_from_the_list_that_the_one_before_goes_by() {
+    let platform = Platform::new();
+    let (mut old, old_admin) = platform.start();
+    // Discovery tells a drain to the old process alone.
+    let drained = format!(
+        r#"{{"version":7,"full":false,"servers":[{}]}}"#,
+        common::entry("other", platform.other.addr, "m", "DRAINING")
+    );
+    platform.discovery.call().http("200 OK", &drained);
+    until("the drain is known", || figure(old_admin, "skipped_cache_servers") == 1);
+    let watch = platform.discovery.call();
+    assert!(watch.words[1].contains("after=7"), "{:?}", watch.words);
+    let (new, new_admin) = platform.start();
+    assert!(new.early.iter().any(|line| line.contains("hands over")), "{:?}", new.early);
+    assert_eq!(figure(new_admin, "skipped_cache_servers"), 1, "told before its yes");
+    // And it follows discovery from there.
+    until("the new one asks for what comes behind", || {
+        platform.discovery.called_with(|call| call.words[1].contains("after=7"))
+    });
+    old.terminate();
+    assert!(old.exit());
+    new.logged("all is this one's");
+    served(&platform, &new);
+    // The next one finds it where it found the one before.
+    let (third, third_admin) = platform.start();
+    assert!(third.early.iter().any(|line| line.contains("hands over")), "{:?}", third.early);
+    assert_eq!(figure(third_admin, "skipped_cache_servers"), 1);
+}
+
+#[test]
+fn whichever_of_the_two_is_killed_the_other_has_all_again() {
+    let platform = Platform::new();
+    let (old, _) = platform.start();
+    for _ in 0..3 {
+        let (new, _) = platform.start();
+        new.signal("-KILL");
+        drop(new); // waited for, as the platform does
+        old.logged("the process that was to follow has ended");
+        served(&platform, &old);
+    }
+    let (new, _) = platform.start();
+    old.signal("-KILL");
+    new.logged("all is this one's");
+    drop(old);
+    served(&platform, &new);
+    let (next, _) = platform.start();
+    assert!(next.early.iter().any(|line| line.contains("hands over")));
+}
+
+#[test]
+fn a_second_upgrade_straight_behind_the_first_waits_for_its_turn() {
+    let platform = Platform::new();
+    let (mut first, _) = platform.start();
+    // A request holds the first one open.
+    let mut client = first.client();
+    client.get("k", FACTS);
+    let open = [&platform.cache, &platform.other];
+    let start = Instant::now();
+    let call = loop {
+        if let Some(call) = open.iter().find_map(|cache| cache.called()) {
+            break call;
+        }
+        assert!(start.elapsed() < PATIENCE);
+    };
+    let (mut second, second_admin) = platform.start();
+    first.terminate();
+    let first_ends = std::thread::spawn(move || {
+        first.logged("asks to follow"); // the second one
+        first.logged("asks to follow"); // the third, which must wait
+        call.value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"));
+        assert!(first.exit());
+    });
+    let (third, third_admin) = platform.start();
+    first_ends.join().unwrap();
+    assert!(third.early.iter().any(|line| line.contains("hands over")), "{:?}", third.early);
+    assert_eq!(say(second_admin, "HEALTH"), "ACK\n");
+    second.terminate();
+    assert!(second.exit());
+    third.logged("all is this one's");
+    assert_eq!(say(third_admin, "HEALTH"), "ACK\n");
+    served(&platform, &third);
+}
+
+#[test]
+fn one_before_that_stands_still_holds_nobody_up() {
+    let platform = Platform::new();
+    let (old, _) = platform.start();
+    old.signal("-STOP");
+    let start = Instant::now();
+    let (new, _) = platform.start();
+    assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+    assert!(new.early.iter().any(|line| line.contains("hands nothing over")), "{:?}", new.early);
+    old.signal("-KILL");
+    drop(old);
+    until("it is alone", || platform.folder.path().join(socket(&new)).exists());
+    served(&platform, &new);
+}
+
+fn socket(node: &Node) -> String {
+    format!("lilacquay-{}.next", node.addr().port())
+}
+
+#[test]
+fn what_the_dead_left_in_the_folder_and_a_folder_that_cannot_be_used_do_no_harm() {
+    let platform = Platform::new();
+    let port = platform.listener.local_addr().unwrap().port();
+    let at = |ending: &str| platform.folder.path().join(format!("lilacquay-{port}.{ending}"));
+    std::fs::write(at("next"), "rubbish").unwrap();
+    std::fs::write(at("new"), "rubbish").unwrap();
+    std::fs::write(at("lock"), vec![0; 100]).unwrap();
+    let (node, _) = platform.start();
+    served(&platform, &node);
+    let (next, _) = platform.start();
+    assert!(next.early.iter().any(|line| line.contains("hands over")), "it listens where the rubbish was");
+    drop((node, next));
+    let nowhere = Path::new("/proc/none");
+    let (node, _) = platform.start_in(nowhere);
+    assert!(node.early.iter().any(|line| line.contains("nothing is handed over")), "{:?}", node.early);
+    served(&platform, &node);
+}
+
+#[test]
+fn who_speaks_otherwise_at_the_socket_is_passed_over() {
+    let platform = Platform::new();
+    let (node, _) = platform.start();
+    let path = platform.folder.path().join(socket(&node));
+    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], b"LQ\x02 another form", b"", b"LQ\x01\0\xff\xff\xff\xff"] {
+        let mut stranger = std::os::unix::net::UnixStream::connect(&path).unwrap();
+        stranger.write_all(words).unwrap();
+    }
+    let (next, _) = platform.start();
+    assert!(next.early.iter().any(|line| line.contains("hands over")), "{:?}", next.early);
+    served(&platform, &next);
+}
--- a/crates/members/src/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -164,7 +164,7 @@
                 told = self.call(at) => told,
             };
             let heard = match told {
-                Some(list) => self.to.list(list),
+                Some(list) => self.to.list_at(list, self.after),
                 None => self.to.failed(),
             };
             if !heard {
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -19,9 +19,8 @@
 #[path = "health.rs"]
 mod health;
 #[path = "view.rs"]
-mod view;
+pub mod view;
 use cost::Pick;
-pub use view::{ServerView, Waiting};
 
 /// Caches in a key's candidate set.
 const SET: usize = 3;
--- a/crates/paddlefold/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod wire;
 
 pub use api::*;
-pub use brain::{Balancer, ServerView, Waiting};
+pub use brain::Balancer;
+pub use brain::view::{Learned, OfServer, ServerView, Waiting};
--- a/crates/paddlefold/src/view.rs
+++ b/crates/paddlefold/src/view.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+#[path = "learned.rs"]
+mod learned;
+pub use learned::{Learned, OfServer};
+
 /// What the module holds of a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerView {
