--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -312,7 +312,7 @@
         directory.check_in(id, addr, Numbered(1), now);
         directory.check_in(id, addr, Numbered(2), now + KEEPALIVE / 10);
         assert_eq!(directory.idle(), 1, "without waiting for a sweep");
-        let governor = crate::governor::Governor::new(0);
+        let governor = crate::governor::Governor::new(0, Default::default());
         let (to, _) = tokio::sync::mpsc::unbounded_channel();
         let opening = Opening { id: paddlefold::RequestId(1), attempt: 0, to, governor };
         let (_, pooled) = directory.check_out(id, now + KEEPALIVE / 5, opening).expect("it is listed");
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -315,7 +315,7 @@
             actions: Vec::new(),
             subscribe,
             inbox,
-            governor: Governor::new(options.memory),
+            governor: Governor::new(options.memory, options.portion.clone()),
             to_begin,
             begun,
             to_self,
--- a/crates/core/src/driver/look.rs
+++ b/crates/core/src/driver/look.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use lilacquay_observe::{
-    BoxNow, End, Kind, List as ListNow, Observer, OrderNow, Repeats, Request as Seen, Snapshot, Waits,
+    Answers, BoxNow, End, Kind, List as ListNow, Observer, OrderNow, Repeats, Request as Seen, Snapshot, Waits,
 };
 use lilacquay_steer::Hold;
 use paddlefold::setup::Names;
@@ -168,6 +168,10 @@
             },
             ..Snapshot::default()
         };
+        let counted = self.book.totals();
+        let (served, busy, failed) = (counted.passed, counted.dropped, counted.failed);
+        snapshot.since_start = Answers { served, busy, failed, gone: 0 };
+        snapshot.tries = counted.tries;
         if let Some(quotas) = &mut self.quotas {
             snapshot.shares = quotas.shares(now);
         }
--- a/crates/lilacquay/src/control.rs
+++ b/crates/lilacquay/src/control.rs
@@ -196,6 +196,11 @@
         "{} requests open, {} connections to servers, {} of {} descriptors, {} KiB",
         now.open, now.connections, now.descriptors, now.descriptor_limit, now.memory_kb
     );
+    let counted = now.since_start;
+    println!(
+        "{} served, {} refused, {} failed since then, by {} attempts",
+        counted.served, counted.busy, counted.failed, now.tries
+    );
     let failures = if now.list.failures > 0 {
         format!(", {} calls failed since", now.list.failures)
     } else {
--- a/crates/observe/src/snapshot.rs
+++ b/crates/observe/src/snapshot.rs
@@ -27,6 +27,10 @@
     pub descriptors: usize,
     /// See [`Snapshot::descriptors`].
     pub descriptor_limit: usize,
+    /// Answers since the node started, whoever looked; who had left is not counted.
+    pub since_start: Answers,
+    /// Attempts written whole to servers since the node started.
+    pub tries: u64,
     /// Answers since figures are gathered.
     pub answers: Answers,
     /// The last minute, second by second, the oldest first; the running one is not in it.
