Take writes of up to 4 MiB, in the memory there is, and end long ones that dribble

Need: values of reads may have 4 MiB and writes 64 KiB; a longer write was taken for no command. Change: a session knows from a command's headers what it will hold, takes all places for it at once or none, only once more of it has come, and keeps them until it is answered; time spent waiting for places is not the client's. Rejected: streaming a write to the origin, which after its first byte could neither be tried again nor refused. Tests: 4 MiB whole at the origin, 5 MiB refused, 24 writers of 3 MiB in 48 MB hold under 20 MiB and are all served, eight that dribble keep none out.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -181,6 +181,12 @@
     next(RESPONSE, buffer, longest)
 }
 
+/// How many bytes the first packet has, once its header has come.
+pub fn expected(buffer: &[u8]) -> usize {
+    let body = buffer.get(8..12).and_then(|bytes| <[u8; 4]>::try_from(bytes).ok());
+    body.map_or(0, |body| HEADER.saturating_add(u32::from_be_bytes(body) as usize))
+}
+
 /// What a response says before its body has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Head {
--- a/crates/codec/src/resp.rs
+++ b/crates/codec/src/resp.rs
@@ -43,8 +43,20 @@
     put_header(out, b'$', length);
 }
 
+/// How many bytes the first frame has at least, by what has come of it.
+pub fn expected(buffer: &[u8], limit: usize) -> usize {
+    let mut least = 0;
+    // What can't be read is told when it is taken.
+    let _ = measure(buffer, limit, &mut least);
+    least
+}
+
 /// The length of the first frame, if it is whole: one element, or a flat array of them.
 fn frame_length(buffer: &[u8], limit: usize) -> Result<Option<usize>, Malformed> {
+    measure(buffer, limit, &mut 0)
+}
+
+fn measure(buffer: &[u8], limit: usize, least: &mut usize) -> Result<Option<usize>, Malformed> {
     let mut rest = buffer;
     let (mut elements, mut nested) = (1, true);
     while elements > 0 {
@@ -56,6 +68,7 @@
             if buffer.len() - rest.len() + size > limit {
                 return Err(Malformed);
             }
+            *least = buffer.len() - rest.len() + size;
             if rest.len() < size {
                 return Ok(None);
             }
@@ -167,6 +180,13 @@
         assert!(text.is_empty());
     }
 
+    #[test]
+    fn what_a_frame_needs_is_known_from_its_headers() {
+        assert_eq!(expected(b"*2\r\n$3\r\nGET\r\n$70000\r\nab", 100_000), 13 + 8 + 70_002);
+        assert_eq!(expected(b"*2\r\n$3\r\nGE", 100), 13);
+        assert_eq!(expected(b"*2\r", 100), 0);
+    }
+
     #[test]
     fn the_head_of_a_long_value_is_known_before_the_value_has_come() {
         let head = b"*3\r\n$70000\r\n";
--- a/crates/core/src/driver/look.rs
+++ b/crates/core/src/driver/look.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use lilacquay_observe::{
-    Answers, BoxNow, End, Kind, List as ListNow, Observer, OrderNow, Repeats, Request as Seen, Snapshot, Waits,
+    Answers, BoxNow, End, Kind, List as ListNow, Observer, OrderNow, Repeats, Request as Seen, Snapshot,
+    Waits,
 };
 use lilacquay_steer::Hold;
 use paddlefold::setup::Names;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,7 +26,7 @@
 mod upstream;
 
 pub use admission::Admission;
-pub use call::{Answer, Call, CallError, Made, Terms, VALUE_LIMIT, Verb};
+pub use call::{Answer, Call, CallError, Made, Terms, VALUE_LIMIT, Verb, WRITE_LIMIT};
 pub use clock::Clock;
 pub use driver::{Driver, Gauges, Handles, Heritage, Options, Orders, Watching};
 pub use flow::{FLOW_LIMIT, Feeder, Flow, Piece, Room, Unwanted};
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -52,8 +52,10 @@
     pub(crate) seats: Arc<Seats>,
     /// Told when a session has ended.
     pub(crate) left: Notify,
-    /// Places for buffers that are not small.
+    /// Places for buffers that are not small, of [`LARGE`] bytes each ...
     pub(crate) large: Arc<Semaphore>,
+    /// ... and how many there are.
+    pub(crate) places: u32,
     /// What the node does now: whether it takes connections, and when those it has are closed.
     pub(crate) bearing: watch::Receiver<Bearing>,
     sessions: TaskTracker,
@@ -62,11 +64,12 @@
 impl Hall {
     /// A hall without guests, of a node with this bearing.
     pub fn new(requests: Requests, bounds: Bounds, bearing: watch::Receiver<Bearing>) -> Self {
-        let large = Arc::new(Semaphore::new((bounds.memory / LARGE).max(1)));
+        let places = u32::try_from(bounds.memory / LARGE).unwrap_or(u32::MAX).max(1);
+        let large = Arc::new(Semaphore::new(places as usize));
         // Clients may hold a third of the descriptors: some of it stays free for their next connections.
         let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
         let (left, sessions) = Default::default();
-        Hall(Arc::new(Shared { requests, bounds, seats, left, large, bearing, sessions }))
+        Hall(Arc::new(Shared { requests, bounds, seats, left, large, places, bearing, sessions }))
     }
 
     /// Takes connections for as long as the node takes any, each with a protocol of its own: from when it is ready
--- a/crates/fronts/src/memcache/mod.rs
+++ b/crates/fronts/src/memcache/mod.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use lilacquay_codec::memcache::{self, KEY_LIMIT, Opcode, Packet, Status, next_request};
-use lilacquay_core::{Answer, Call, CallError, Gauges, Made, Terms, VALUE_LIMIT, Verb};
+use lilacquay_core::{Answer, Call, CallError, Gauges, Made, Terms, VALUE_LIMIT, Verb, WRITE_LIMIT};
 
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use table::{Compares, Table};
@@ -98,10 +98,14 @@
 
 impl Protocol for Memcache {
     type Reply = Asked;
-    const LONGEST: usize = 2 * VALUE_LIMIT;
+    const LONGEST: usize = WRITE_LIMIT + VALUE_LIMIT;
     /// A run of quiet commands is one's own way to ask for many keys at once. More than these wait unread.
     const AT_ONCE: usize = usize::MAX;
 
+    fn expected(&self, buffer: &[u8]) -> usize {
+        memcache::expected(buffer)
+    }
+
     fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Input<Asked>>, Malformed> {
         let header = |at: usize| buffer.get(at..at + 4).and_then(|b| <[u8; 4]>::try_from(b).ok());
         let (opcode, opaque) = (buffer.get(1).copied(), header(12).map(u32::from_be_bytes));
@@ -364,7 +368,7 @@
 impl From<CallError> for CommandError {
     fn from(error: CallError) -> Self {
         match error {
-            CallError::ValueTooLong => CommandError(Status::VALUE_TOO_LARGE, "value over 64 KiB"),
+            CallError::ValueTooLong => CommandError(Status::VALUE_TOO_LARGE, "value over 4 MiB"),
             CallError::Text => CommandError(Status::INVALID_ARGUMENTS, "wrong arguments"),
         }
     }
--- a/crates/fronts/src/protocol.rs
+++ b/crates/fronts/src/protocol.rs
@@ -15,6 +15,10 @@
     /// those beyond the answers that may be owed wait unread.
     const AT_ONCE: usize = 64;
 
+    /// How many bytes the first command has at least, by what has come of it: no more than [`Protocol::LONGEST`] if it
+    /// can be one.
+    fn expected(&self, buffer: &[u8]) -> usize;
+
     /// Takes the first command out of the buffer, once it is whole.
     ///
     /// # Errors
--- a/crates/fronts/src/resp.rs
+++ b/crates/fronts/src/resp.rs
@@ -4,8 +4,8 @@
 use std::{fmt, str};
 
 use bytes::{Bytes, BytesMut};
-use lilacquay_codec::resp::{Frame, next_frame, put_bulk, put_bulk_header, put_error, put_simple};
-use lilacquay_core::{Answer, Call, CallError, Made, Micros, VALUE_LIMIT};
+use lilacquay_codec::resp::{self, Frame, next_frame, put_bulk, put_bulk_header, put_error, put_simple};
+use lilacquay_core::{Answer, Call, CallError, Made, Micros, VALUE_LIMIT, WRITE_LIMIT};
 use paddlefold::setup::Names;
 
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
@@ -60,7 +60,11 @@
 
 impl Protocol for Resp {
     type Reply = ();
-    const LONGEST: usize = 2 * VALUE_LIMIT;
+    const LONGEST: usize = WRITE_LIMIT + VALUE_LIMIT;
+
+    fn expected(&self, buffer: &[u8]) -> usize {
+        resp::expected(buffer, Self::LONGEST)
+    }
 
     fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Input<()>>, Malformed> {
         let Some(frame) = next_frame(buffer, Self::LONGEST).map_err(|_| Malformed)? else { return Ok(None) };
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -14,7 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::io::poll_read_buf;
@@ -23,7 +23,7 @@
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use crate::seats::{Guest, Seat};
 
-/// What a buffer that is not small is reckoned to hold, in bytes: the longest command of any protocol.
+/// What one place of a buffer that is not small stands for, in bytes: most commands that are not small have one.
 pub(crate) const LARGE: usize = 2 * VALUE_LIMIT;
 /// Answers owed on one connection, errors among them; beyond that it is not read.
 const OWED: usize = 1024;
@@ -41,6 +41,10 @@
 /// Where connections between requests are to be closed, one that has always something more to say is closed all the
 /// same after so long.
 const LAST_WORDS: Duration = Duration::from_millis(500);
+/// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
+const SLOWEST: usize = 256 << 10;
+/// ... with no pause longer than this.
+const PAUSE: Duration = Duration::from_millis(500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
 /// A client that takes no byte of its answers for so long is given up.
@@ -60,15 +64,24 @@
 /// An answer that is owed, in the order of the commands.
 enum Owed<R> {
     Ready(BytesMut),
-    Waiting(Pending, R),
+    Waiting(Waiting<R>),
+}
+
+struct Waiting<R> {
+    pending: Pending,
+    reply: R,
+    /// Of a long command, which are free again when it is answered.
+    _places: Option<OwnedSemaphorePermit>,
 }
 
 pub(crate) struct Session<P: Protocol> {
     hall: Arc<Shared>,
     protocol: P,
     buffer: BytesMut,
-    /// The place of a buffer that is not small.
+    /// The places of a buffer that is not small.
     large: Option<OwnedSemaphorePermit>,
+    /// How many bytes the command has that is coming, as far as it is known of one that is not small.
+    expected: usize,
     read_at: Instant,
     owed: VecDeque<Owed<P::Reply>>,
     /// How many of those owed are requests.
@@ -99,6 +112,7 @@
             protocol,
             buffer: BytesMut::new(),
             large: None,
+            expected: 0,
             read_at: now,
             owed: VecDeque::new(),
             open: 0,
@@ -141,22 +155,30 @@
             // Guards against: a client that always has a command under way and so keeps a node that is to
             // stop until it is killed with something unanswered. What is not read, the client sends again.
             let reading = self.may_begin() && !self.more && (manner == Manner::Stay || unowed);
-            let roomy = self.buffer.len() < SMALL || self.large.is_some();
+            let places = self.places();
+            let roomy = self.buffer.len() < SMALL || self.held() >= places;
+            if !roomy {
+                self.large = None; // nobody waits for places and holds some
+            }
+            let wanted = (!roomy).then_some(places);
             let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
             tokio::select! {
                 biased;
-                read = receive(&mut reader, &mut self.buffer), if reading && roomy => {
-                    let read = read?;
-                    if read == 0 {
-                        return Ok(());
-                    }
-                    self.read_at = Instant::now();
-                    if self.heard && read == self.buffer.len() {
-                        self.since = self.read_at; // a command's first byte
+                come = come(&mut reader, &mut self.buffer, self.expected, wanted, &large), if reading => {
+                    match come? {
+                        Come::Bytes(0) => return Ok(()),
+                        Come::Bytes(read) => {
+                            self.read_at = Instant::now();
+                            if self.heard && read == self.buffer.len() {
+                                self.since = self.read_at; // a command's first byte
+                            }
+                        }
+                        Come::Places(held) => {
+                            self.large = Some(held);
+                            self.read_at = Instant::now(); // its time goes on from here
+                        }
                     }
                 }
-                // Guards against: long commands on all connections at once, which outgrow the memory.
-                Ok(place) = large.clone().acquire_owned(), if reading && !roomy => self.large = Some(place),
                 (owed, answer) = next(&mut self.owed), if !unowed => {
                     let (text, flow) = self.answers(owed, answer);
                     write(&mut writer, &text).await?;
@@ -208,6 +230,21 @@
         }
     }
 
+    /// How many places the command needs that is coming.
+    fn places(&mut self) -> u32 {
+        self.expected = match self.buffer.len() < SMALL {
+            true => 0,
+            false => self.protocol.expected(&self.buffer).min(P::LONGEST),
+        };
+        let places = self.expected.max(self.buffer.len()).div_ceil(LARGE);
+        u32::try_from(places).unwrap_or(u32::MAX).clamp(1, self.hall.places)
+    }
+
+    /// How many places it holds.
+    fn held(&self) -> u32 {
+        self.large.as_ref().map_or(0, |held| u32::try_from(held.num_permits()).unwrap_or(u32::MAX))
+    }
+
     fn guest(&self) -> Guest {
         match (self.buffer.is_empty(), self.asked) {
             (false, _) => Guest::Sending,
@@ -225,7 +262,18 @@
     }
 
     fn give_up_at(&self) -> Instant {
-        self.broken.map_or(self.since + PATIENCE, |at| at + PARTING)
+        if let Some(at) = self.broken {
+            return at + PARTING;
+        }
+        let usual = self.since + PATIENCE;
+        // Guards against: a long write given up while it comes or waits for places, and one that dribbles and holds its
+        // own.
+        let longest = usual + Duration::from_secs_f64(self.expected as f64 / SLOWEST as f64);
+        match self.expected > LARGE {
+            true if self.large.is_none() => longest,
+            true => usual.max((self.read_at + PAUSE).min(longest)),
+            false => usual,
+        }
     }
 
     /// Writes a large value as it comes.
@@ -250,20 +298,20 @@
             match (owed, answer) {
                 (Owed::Ready(ready), _) if text.is_empty() => text = ready,
                 (Owed::Ready(ready), _) => text.extend_from_slice(&ready),
-                (Owed::Waiting(_, reply), Some(Answer::Begun(flow))) => {
+                (Owed::Waiting(waited), Some(Answer::Begun(flow))) => {
                     self.open -= 1;
-                    self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
+                    self.protocol.begin(waited.reply, flow.length(), flow.flags(), &mut text);
                     return (text, Some(flow));
                 }
-                (Owed::Waiting(_, reply), answer) => {
+                (Owed::Waiting(waited), answer) => {
                     self.open -= 1;
-                    self.protocol.answer(reply, answer.unwrap_or(Answer::Failed), &mut text);
+                    self.protocol.answer(waited.reply, answer.unwrap_or(Answer::Failed), &mut text);
                 }
             }
             answer = match self.owed.front_mut() {
                 Some(_) if text.len() >= WRITTEN => return (text, None),
                 Some(Owed::Ready(_)) => None,
-                Some(Owed::Waiting(pending, _)) => match pending.try_answer() {
+                Some(Owed::Waiting(waiting)) => match waiting.pending.try_answer() {
                     Some(answer) => Some(answer),
                     None => return (text, None), // not yet
                 },
@@ -338,7 +386,8 @@
         match opened {
             Ok(pending) => {
                 (self.open, self.asked, self.heard) = (self.open + 1, true, true);
-                Owed::Waiting(pending, reply)
+                let places = if length > LARGE { self.large.take() } else { None };
+                Owed::Waiting(Waiting { pending, reply, _places: places })
             }
             Err(why) => {
                 let mut text = BytesMut::new();
@@ -362,11 +411,36 @@
     Ok(())
 }
 
+/// What has come for a session.
+enum Come {
+    /// So many bytes; none is the end.
+    Bytes(usize),
+    /// Places for a command that is not small.
+    Places(OwnedSemaphorePermit),
+}
+
+/// Reads what has come; where places are wanted first, takes those once there is more to read.
+///
+/// Guards against: places held for what nobody sends.
+async fn come(
+    reader: &mut ReadHalf<'_>,
+    buffer: &mut BytesMut,
+    expected: usize,
+    wanted: Option<u32>,
+    large: &Arc<Semaphore>,
+) -> io::Result<Come> {
+    let Some(places) = wanted else { return receive(reader, buffer, expected).await.map(Come::Bytes) };
+    reader.readable().await?;
+    large.clone().acquire_many_owned(places).await.map(Come::Places).map_err(io::Error::other)
+}
+
 /// Reads what has come into a buffer, which takes no memory before something has.
-async fn receive(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
+async fn receive(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut, expected: usize) -> io::Result<usize> {
     poll_fn(|cx| {
         ready!(reader.as_ref().poll_read_ready(cx))?;
-        buffer.reserve(ROOM.max(buffer.len()));
+        // Of a command that is not small all that it needs, in one piece; else twice what there is.
+        let room = if expected > 0 { expected.saturating_sub(buffer.len()) } else { buffer.len() };
+        buffer.reserve(ROOM.max(room));
         let read = poll_read_buf(Pin::new(&mut *reader), cx, buffer);
         if read.is_pending() && buffer.is_empty() {
             *buffer = BytesMut::new();
@@ -380,7 +454,7 @@
 /// loses nothing.
 async fn next<R>(owed: &mut VecDeque<Owed<R>>) -> (Owed<R>, Option<Answer>) {
     let answer = match owed.front_mut() {
-        Some(Owed::Waiting(pending, _)) => Some(pending.await),
+        Some(Owed::Waiting(waiting)) => Some((&mut waiting.pending).await),
         Some(Owed::Ready(_)) => None,
         None => std::future::pending().await,
     };
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -31,6 +31,10 @@
     type Reply = String;
     const LONGEST: usize = 1024;
 
+    fn expected(&self, _: &[u8]) -> usize {
+        0
+    }
+
     fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Input<String>>, Malformed> {
         let Some(end) = buffer.iter().position(|&b| b == b'\n') else {
             return if buffer.len() > Self::LONGEST { Err(Malformed) } else { Ok(None) };
--- a/crates/lilacquay/tests/large.rs
+++ b/crates/lilacquay/tests/large.rs
@@ -253,3 +253,67 @@
     }
     assert!(start.elapsed() < Duration::from_secs(10));
 }
+
+fn writer(node: SocketAddr, id: &str, value: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(node).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head =
+        format!("*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n${}\r\n{id}\r\n$13\r\nc=put,d=20000\r\n", id.len());
+    let text = [head.as_bytes(), format!("${}\r\n", value.len()).as_bytes(), value, b"\r\n"].concat();
+    let _ = stream.write_all(&text); // one that is refused may be closed on
+    stream
+}
+
+#[test]
+fn a_large_write_reaches_the_origin_whole_and_one_that_is_larger_is_refused_at_once() {
+    let site = site(1);
+    let whole = vec![b'w'; 4 * MIB];
+    let mut client = writer(site.node.addr(), "i1", &whole);
+    let call = site.origin.call();
+    assert_eq!((call.words[0].as_str(), call.words.last().unwrap().len()), ("PUT", whole.len()));
+    call.http("200 OK", "receipt");
+    assert_eq!((line(&mut client), line(&mut client)), ("$7".into(), "receipt".into()));
+    let mut client = writer(site.node.addr(), "i2", &vec![b'w'; 5 * MIB]);
+    let mut text = String::new();
+    let _ = client.read_to_string(&mut text); // a reset may follow what is said
+    assert!(text.is_empty() || text.starts_with("-ERR"), "{text}");
+    assert!(site.origin.called().is_none());
+}
+
+/// What many writers may hold together, all of whom are served in the end.
+#[test]
+fn many_large_writes_at_once_take_their_turns_in_the_memory_there_is() {
+    let site = site(1);
+    let (before, node) = (site.memory(), site.node.addr());
+    let writers: Vec<_> = (0..24)
+        .map(|n| std::thread::spawn(move || line(&mut writer(node, &format!("i{n}"), &vec![b'w'; 3 * MIB]))))
+        .collect();
+    let mut most = 0;
+    for _ in 0..writers.len() {
+        let call = site.origin.call();
+        most = most.max(site.memory());
+        call.http("200 OK", "r");
+    }
+    for writer in writers {
+        assert_eq!(writer.join().unwrap(), "$1");
+    }
+    let held = most.saturating_sub(before);
+    assert!(held < 20 * MIB, "{} KiB for writes of 72 MiB", held >> 10);
+}
+
+#[test]
+fn a_long_write_that_dribbles_is_given_up_and_its_places_are_anothers() {
+    let site = site(1);
+    let head = "*5\r\n$9\r\nCACHE.SET\r\n$1\r\nk\r\n$2\r\nd1\r\n$13\r\nc=put,d=20000\r\n$4000000\r\n";
+    let mut dribbles: Vec<TcpStream> =
+        (0..8).map(|_| TcpStream::connect(site.node.addr()).unwrap()).collect();
+    for stream in &mut dribbles {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&[b'w'; 10_000]).unwrap();
+    }
+    let mut client = writer(site.node.addr(), "i1", &vec![b'w'; 3 * MIB]);
+    site.origin.call().http("200 OK", "r");
+    assert_eq!(line(&mut client), "$1");
+    assert!(line(&mut dribbles[0]).starts_with("-ERR no whole command"));
+}
