--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -132,6 +132,19 @@
     pub fn call(&self) -> Call {
         self.calls.recv_timeout(PATIENCE).expect("a call")
     }
+    /// Answers so many calls with a value, or all that come until none comes for a while.
+    pub fn serve_until(self, calls: usize, value: &str) {
+        for _ in 0..calls {
+            match self.calls.recv_timeout(PATIENCE) {
+                Ok(mut call) => {
+                    _ = call.try_answer(
+                        format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).as_bytes(),
+                    )
+                }
+                Err(_) => return,
+            }
+        }
+    }
     /// A call that has come already.
     pub fn called(&self) -> Option<Call> {
         self.calls.try_recv().ok()
@@ -352,7 +365,13 @@
 
     /// A node with this configuration and a second address.
     pub fn operated(config: &str) -> (Node, SocketAddr) {
-        Node::with_admin(config, &mut program("exec \"$0\""))
+        Node::operated_with(config, &[])
+    }
+
+    /// The same, with more in its environment.
+    pub fn operated_with(config: &str, environment: &[(&str, String)]) -> (Node, SocketAddr) {
+        let mut command = program("exec \"$0\"");
+        Node::with_admin(config, command.envs(environment.iter().map(|(name, value)| (name, value))))
     }
 
     fn with_admin(config: &str, command: &mut Command) -> (Node, SocketAddr) {
--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -9,6 +9,10 @@
 use std::time::{Duration, Instant};
 
 use common::{Fake, Node, PATIENCE, Start, list};
+use lilacquay_fleet::clients::{self, Load};
+use lilacquay_fleet::script::Step;
+use lilacquay_fleet::verdict::check;
+use lilacquay_fleet::{Fleet, Plan};
 
 const FACTS: &str = "c=read,d=2000";
 
@@ -222,3 +226,52 @@
     assert!(next.early.iter().any(|line| line.contains("hands over")), "{:?}", next.early);
     served(&platform, &next);
 }
+
+/// How many upgrades in a row; CI plays a few, `UPGRADES=50 cargo test --test handover upgrades_in_a_row` more.
+fn upgrades() -> u32 {
+    std::env::var("UPGRADES").ok().and_then(|n| n.parse().ok()).unwrap_or(5)
+}
+
+/// Under load, with writes and kept connections, and a box that is drained and comes back in the midst.
+#[test]
+fn upgrades_in_a_row_lose_nothing_and_break_no_rule() {
+    let every = Duration::from_millis(1500);
+    let time = every * (upgrades() + 1);
+    let fleet = Fleet::start(Plan { seed: 3, ..Plan::default() }).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let passed = rustix::io::dup(&listener).unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    let at = listener.local_addr().unwrap();
+    let config = fleet.configuration(at, 384);
+    let start = || {
+        let environment = [
+            ("EDGE_PASSED_SOCKET", passed.as_raw_fd().to_string()),
+            ("TMPDIR", folder.path().to_string_lossy().into_owned()),
+        ];
+        let (node, admin) = Node::operated_with(&config, &environment);
+        until("it is ready", || say(admin, "HEALTH") == "ACK\n");
+        node
+    };
+    let mut serving = start();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let load = Load { kept: true, rate: 150.0, ..Load::usual(at, time, 3) };
+    let running = runtime.spawn(clients::run(load, fleet.clock().clone(), Default::default()));
+    let begun = Instant::now();
+    for n in 1..=upgrades() {
+        std::thread::sleep((begun + every * n).saturating_duration_since(Instant::now()));
+        let server = "box-1".to_owned();
+        fleet.step(if n % 2 == 1 { Step::Drain { server } } else { Step::Undrain { server } }).unwrap();
+        let next = start();
+        serving.terminate();
+        let mut before = std::mem::replace(&mut serving, next);
+        assert!(before.exit(), "the one before ends by itself");
+    }
+    let report = runtime.block_on(running).unwrap();
+    let (records, dropped) = fleet.records();
+    let broken = check((&records, dropped), &report.asks, report.doubled, 500_000);
+    assert_eq!(broken, []);
+    let unreached: u64 = report.classes.iter().map(|class| class.unreached).sum();
+    assert_eq!(unreached, 0, "nobody is turned away at the door");
+    let served = report.served().len() as usize;
+    assert!(served > report.asks.len() * 9 / 10, "{served} of {}", report.asks.len());
+}
--- a/crates/lilacquay/tests/operation.rs
+++ b/crates/lilacquay/tests/operation.rs
@@ -288,3 +288,57 @@
         });
     }
 }
+
+/// Connections of a crowd that never say a whole command, half of them a part of one, and true requests at the same time,
+/// each on a new connection, some of which take their time.
+#[test]
+fn a_crowd_that_never_asks_keeps_out_none_who_does() {
+    let site = Site::new();
+    let known = list(1, &[("c", site.cache.addr)], site.origin.addr);
+    let (node, admin) =
+        Start { sockets: 384, memory_mb: 24, ..Start::new(&known, site.discovery.addr) }.operated(&[]);
+    let at = node.addr();
+    // Answers as they come, beside the test.
+    let answering = std::thread::spawn(move || site.cache.serve_until(usize::MAX, "v"));
+    const CROWD: usize = 2000;
+    let crowd = std::thread::spawn(move || {
+        let (mut held, mut come) = (std::collections::VecDeque::new(), 0);
+        while come < CROWD {
+            if let Ok(mut stream) = TcpStream::connect(at) {
+                come += 1;
+                if come % 2 == 0 {
+                    let _ = stream.write_all(b"*4\r\n$9\r\nCACHE"); // it may be closed on
+                }
+                held.push_back(stream);
+            }
+            if held.len() > 400 {
+                held.pop_front(); // what the test itself may hold has a bound too
+            }
+        }
+    });
+    let (mut asked, mut served, mut slowest) = (0, 0, Duration::ZERO);
+    while !crowd.is_finished() {
+        let n = asked;
+        asked += 1;
+        let start = Instant::now();
+        let mut client = Client::to(at);
+        let command = common::words(&["CACHE.GET", "k", &format!("id{n}"), "c=read,d=10000"]);
+        match n % 4 {
+            0 => {
+                for piece in command.as_bytes().chunks(8) {
+                    client.try_write(std::str::from_utf8(piece).unwrap());
+                }
+            }
+            _ => client.try_write(&command),
+        }
+        served += u32::from(client.answer().as_deref() == Some("v"));
+        slowest = slowest.max(start.elapsed());
+        assert_eq!(say(admin, b"HEALTH\n"), "ACK\n", "also in the crowd");
+    }
+    crowd.join().unwrap();
+    drop((node, answering));
+    assert!(
+        asked > 20 && served * 20 >= asked * 19,
+        "{served} of {asked} served, the slowest after {slowest:?}"
+    );
+}
