Explore a node's life by the model checker, and test large values over memcached

Need: the life was explored by a walk of its own without memory of states, to depth 4; the checker goes to 8. Large values over memcached, with flags and keys on both sides, had no test.

--- a/crates/life/tests/life.rs
+++ b/crates/life/tests/life.rs
@@ -1,6 +1,7 @@
-//! All orders of events and times to a stated depth: what may never be, is not.
+//! All orders of events and times to a stated depth, by a model checker: what may never be, is not.
 
 use lilacquay_life::{Bearing, Event, Life, Manner, Micros, Refused, State, Terms};
+use stateright::{Checker, Model, Property};
 
 const MS: Micros = 1_000;
 const TERMS: Terms = Terms {
@@ -23,7 +24,7 @@
 const STEPS: [Micros; 5] = [0, 299 * MS, 500 * MS, 1_500 * MS, 3_600 * MS];
 
 /// When a life was last told what, as whoever tells it sees it.
-#[derive(Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 struct Seen {
     left: Option<Micros>,
     stopped: Option<Micros>,
@@ -59,42 +60,68 @@
     }
 }
 
-fn explore(life: &Life, now: Micros, seen: Seen, depth: usize, states: &mut usize) {
-    check(life, now, seen);
-    *states += 1;
-    if depth == 0 {
-        return;
+/// A life with what it was told, at a time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Told {
+    life: Life,
+    now: Micros,
+    seen: Seen,
+}
+
+struct Lives;
+
+impl Model for Lives {
+    type State = Told;
+    type Action = (Micros, Event);
+
+    fn init_states(&self) -> Vec<Told> {
+        vec![Told { life: Life::new(TERMS), now: 7 * MS, seen: Seen::default() }]
+    }
+
+    fn actions(&self, _: &Told, actions: &mut Vec<(Micros, Event)>) {
+        actions.extend(STEPS.iter().flat_map(|&step| EVENTS.map(|event| (step, event))));
     }
-    for step in STEPS {
-        for event in EVENTS {
-            let (mut life, now, mut seen) = (life.clone(), now + step, seen);
-            let before = life.clone();
-            let over = life.bearing(now).ended;
-            let told = life.on(now, event);
-            match event {
-                Event::Ready => seen.ready = true,
-                Event::Fail => seen.ended = true,
-                Event::Leave if told.is_ok() && seen.left.is_none() => seen.left = Some(now),
-                Event::Join if told.is_ok() => seen.left = None,
-                Event::Stop { .. } if !seen.ready => seen.ended = true,
-                Event::Stop { .. } if seen.stopped.is_none() => seen.stopped = Some(now),
-                _ => {}
-            }
-            if told.is_err() {
-                assert_eq!(life, before, "what is refused changes nothing");
-                assert!(matches!(event, Event::Leave | Event::Join));
-            }
-            assert!(!over || life.bearing(now).ended, "what is over stays so");
-            explore(&life, now, seen, depth - 1, states);
+
+    fn next_state(&self, told: &Told, (step, event): (Micros, Event)) -> Option<Told> {
+        let Told { mut life, now, mut seen } = told.clone();
+        let now = now + step;
+        let (before, over) = (life.clone(), life.bearing(now).ended);
+        let answer = life.on(now, event);
+        match event {
+            Event::Ready => seen.ready = true,
+            Event::Fail => seen.ended = true,
+            Event::Leave if answer.is_ok() && seen.left.is_none() => seen.left = Some(now),
+            Event::Join if answer.is_ok() => seen.left = None,
+            Event::Stop { .. } if !seen.ready => seen.ended = true,
+            Event::Stop { .. } if seen.stopped.is_none() => seen.stopped = Some(now),
+            _ => {}
+        }
+        if answer.is_err() {
+            assert_eq!(life, before, "what is refused changes nothing");
+            assert!(matches!(event, Event::Leave | Event::Join));
         }
+        assert!(!over || life.bearing(now).ended, "what is over stays so");
+        Some(Told { life, now, seen })
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::<Self>::always("what is promised holds", |_, told| {
+                check(&told.life, told.now, told.seen);
+                true
+            }),
+            Property::<Self>::sometimes("it comes back", |_, told| {
+                told.life.state() == State::Serving && told.now > 7 * MS + 1_500 * MS
+            }),
+        ]
     }
 }
 
 #[test]
 fn no_order_of_events_breaks_what_is_promised() {
-    let mut states = 0;
-    explore(&Life::new(TERMS), 7 * MS, Seen::default(), 4, &mut states);
-    assert!(states > 800_000, "{states}");
+    let checker = Lives.checker().threads(2).target_max_depth(8).spawn_bfs().join();
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 20_000, "{}", checker.unique_state_count());
 }
 
 #[test]
--- a/crates/lilacquay/tests/memcached.rs
+++ b/crates/lilacquay/tests/memcached.rs
@@ -602,3 +602,44 @@
     assert!(widget.answer().is_none(), "closed");
     assert!(stage.node.exit());
 }
+
+/// Values over 64 KiB flow in this protocol too, on both sides, with the flags and key that stand before them.
+#[test]
+fn large_values_flow_from_a_cache_to_a_widget_with_their_flags_and_key() {
+    let (cache, origin) = (Fake::memcached(), Fake::http());
+    let options = format!("{OPTIONS}\n[boxes]\nkinds = [\"m\"]\n");
+    let stage = Stage::new(&options, &[cache.addr], origin.addr);
+    let value: Vec<u8> = (0..700_000_u32).map(|n| b'a' + (n % 23) as u8).collect();
+    for (opcode, key) in [(Opcode::Get, ""), (Opcode::GetK, "k1"), (Opcode::GetKQ, "k1")] {
+        let mut widget = stage.widget();
+        widget.send(&get(opcode, "k1", 77));
+        let mut call = cache.call();
+        let packet = Packet {
+            opcode: Opcode::Get as u8,
+            opaque: call.opaque(),
+            extras: Bytes::from_static(&[0, 0, 0, 9]),
+            value: value.clone().into(),
+            ..Packet::default()
+        };
+        let text = response(&packet);
+        let giving = std::thread::spawn(move || {
+            // Head and value in pieces that end nowhere in particular.
+            text.chunks(10_007).for_each(|piece| call.answer(piece));
+        });
+        let answer = widget.answer().unwrap();
+        giving.join().unwrap();
+        assert_eq!(
+            (answer.opaque, &answer.extras[..], &answer.key[..]),
+            (77, &[0, 0, 0, 9][..], key.as_bytes())
+        );
+        assert!(answer.value == value, "{} bytes of {}", answer.value.len(), value.len());
+    }
+    stage.nothing_open();
+    // The connection was used again each time.
+    let mut widget = stage.widget();
+    widget.send(&get(Opcode::Get, "k1", 78));
+    let call = cache.call();
+    assert_eq!(call.connection, 0);
+    call.value("small");
+    assert_eq!(&widget.answer().unwrap().value[..], b"small");
+}
