--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -175,6 +175,31 @@
     served(&platform, &third);
 }
 
+/// The write of a keyed class is under way at the old process when its client asks the new one again, as clients do.
+#[test]
+fn a_keyed_write_asked_again_at_the_new_process_carries_the_same_key_and_each_answers_its_own() {
+    let platform = Platform::new();
+    let (mut old, _) = platform.start();
+    let mut first = old.client();
+    first.set("k", "c=put,d=2000,k=5c0f6e1a", "value");
+    let under_way = platform.origin.call();
+    let (new, _) = platform.start();
+    old.terminate();
+    old.logged("finishing, another process serves");
+    let mut again = new.client();
+    again.send(&["CACHE.SET", "k", "another-id", "c=put,d=2000,k=5c0f6e1a", "value"]);
+    let repeat = platform.origin.call();
+    for call in [&under_way, &repeat] {
+        assert!(call.words.iter().any(|word| word.contains("k=5c0f6e1a")), "{:?}", call.words);
+    }
+    repeat.http("200 OK", "second");
+    under_way.http("200 OK", "first");
+    assert_eq!(again.answer().as_deref(), Some("second"));
+    assert_eq!(first.answer().as_deref(), Some("first"), "the old one answers what it has taken");
+    assert!(old.exit());
+    assert!(platform.origin.called().is_none(), "nothing is sent again by itself");
+}
+
 #[test]
 fn one_before_that_stands_still_holds_nobody_up() {
     let platform = Platform::new();
--- a/crates/lilacquay/tests/large.rs
+++ b/crates/lilacquay/tests/large.rs
@@ -164,6 +164,35 @@
     assert_eq!(site.figure("upstream_tries"), 2);
 }
 
+#[test]
+fn a_server_that_stalls_in_the_midst_is_given_up_and_counts_as_failed() {
+    let site = site(1);
+    let mut client = reader(&site.node, "i1");
+    let (_, mut call) = site.call();
+    let (start, giving) = (
+        Instant::now(),
+        std::thread::spawn(move || {
+            call.answer(head(4 * MIB));
+            call.answer(value(3_000_000));
+            call // held open, and silent
+        }),
+    );
+    assert_eq!(line(&mut client), format!("${}", 4 * MIB));
+    let mut come = Vec::new();
+    let _ = client.read_to_end(&mut come); // a reset tells it too
+    assert!(come.len() <= 3_000_000 && start.elapsed() > Duration::from_secs(4), "{:?}", start.elapsed());
+    drop(giving.join().unwrap());
+    until(|| site.figure("handled.read.bad_gateway") == 1);
+    assert_eq!(site.figure("in_progress"), 0);
+}
+
+fn until(mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE);
+    }
+}
+
 #[test]
 fn more_than_was_said_reaches_nobody_and_ends_the_connection() {
     let site = site(1);
--- a/crates/lilacquay/tests/operation.rs
+++ b/crates/lilacquay/tests/operation.rs
@@ -132,6 +132,9 @@
     }
     busy.get("k", "c=read,d=20000");
     let open = site.cache.call();
+    busy.send(&["PING"]); // pipelined behind the open one
+    busy.send(&["CACHE.GET", "k", "behind", "c=read,d=20000"]);
+    let behind = site.cache.call();
     half.write("*4\r\n$9\r\nCACHE.GET\r\n");
     assert_eq!(say(admin, b"LEAVE\n"), "ACK\n");
     let start = Instant::now();
@@ -147,7 +150,10 @@
     assert_eq!(resting.answer(), None, "closed while it rests");
     assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
     open.value("late");
+    behind.value("behind");
     assert_eq!(busy.answer().as_deref(), Some("late"), "what is open is answered");
+    assert!(busy.answer().is_some_and(|pong| pong == "+PONG" || pong == "-ERR leaving"));
+    assert_eq!(busy.answer().as_deref(), Some("behind"), "and what stood behind it");
     assert_eq!(busy.answer(), None, "and its connection closed");
     assert_eq!(say(admin, b"JOIN\n"), "ACK\n");
     assert_eq!(say(admin, b"HEALTH\n"), "ACK\n");
