Untie the circles of imports in core, fronts, observe and the program

Need: eight files of the program, six of the core, and two pairs imported one another in circles. No behaviour changed; two circles are left, both in the stand-in fleet.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::flow::Opening;
-use crate::members::{Entry, List, State};
+use crate::list::{Entry, List, State};
 use crate::upstream::{Connection, Standing, Target};
 
 /// A connection rests for so long before it is used again, if another can be.
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,116 @@
+//! What the driver is told, and by whom.
+
+use std::sync::Arc;
+
+use lilacquay_observe::Snapshot;
+use lilacquay_steer::{Ask, Done, Refusal};
+use paddlefold::{Learned, RequestId};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::admission::Admission;
+use crate::call::{Answer, Call};
+use crate::list::List;
+use crate::steering::{Holding, ServerNow};
+
+/// What the driver is told from outside.
+///
+/// The channel has no bound of its own: sessions, of which there are only so many, each have few messages
+/// under way.
+pub(crate) enum Message {
+    Arrived(Arrival),
+    Gone(RequestId),
+    List(List, &'static str, Option<u64>),
+    HandOver(oneshot::Sender<Heritage>),
+    ListFailed,
+    Quotas(Box<Admission>),
+    Steer(Box<Ask>, oneshot::Sender<Result<Done, Refusal>>),
+    Holding(oneshot::Sender<Holding>),
+    Servers(oneshot::Sender<Vec<ServerNow>>),
+    Watch(bool),
+    Look(oneshot::Sender<Snapshot>),
+}
+
+/// A client's request.
+pub(crate) struct Arrival {
+    pub id: RequestId,
+    pub call: Arc<Call>,
+    /// When its last byte was read.
+    pub at: Instant,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// What one process hands to the next.
+#[derive(Debug, Clone)]
+pub struct Heritage {
+    /// The version of the list, where its source has one.
+    pub version: Option<u64>,
+    /// The whole list.
+    pub list: List,
+    /// What the module has learned.
+    pub learned: Learned,
+}
+
+/// By which a running core is told what changes.
+#[derive(Clone)]
+pub struct Orders(pub(crate) UnboundedSender<Message>);
+
+impl Orders {
+    /// Goes by other quotas from now on. A core that was made without keeps none.
+    pub fn quotas(&self, quotas: Admission) {
+        let _ = self.0.send(Message::Quotas(Box::new(quotas))); // nobody goes by them once the core has ended
+    }
+
+    /// Gives an operator's order on a server; the answer tells whether it is obeyed. A core that was made without
+    /// steering, or has ended, answers nothing.
+    pub fn steer(&self, ask: Ask) -> oneshot::Receiver<Result<Done, Refusal>> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Steer(Box::new(ask), answer)); // its end shows at the receiver
+        told
+    }
+
+    /// The servers of the list and what is out at each. A core that was made without steering, or has ended,
+    /// answers nothing.
+    pub fn servers(&self) -> oneshot::Receiver<Vec<ServerNow>> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Servers(answer)); // its end shows at the receiver
+        told
+    }
+
+    /// The node at this moment. A core that has ended answers nothing.
+    pub fn look(&self) -> oneshot::Receiver<Snapshot> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Look(answer)); // its end shows at the receiver
+        told
+    }
+
+    /// Has figures gathered until this is dropped.
+    pub fn watch(&self) -> Watching {
+        let _ = self.0.send(Message::Watch(true)); // nobody is watched once the core has ended
+        Watching(self.0.clone())
+    }
+
+    /// What another process needs to go on in this one's place. A core that has ended answers nothing.
+    pub fn hand_over(&self) -> oneshot::Receiver<Heritage> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::HandOver(answer)); // its end shows at the receiver
+        told
+    }
+
+    /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
+    pub fn holding(&self) -> oneshot::Receiver<Holding> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(Message::Holding(answer)); // its end shows at the receiver
+        told
+    }
+}
+
+/// Somebody who watches; see [`Orders::watch`].
+pub struct Watching(UnboundedSender<Message>);
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        let _ = self.0.send(Message::Watch(false)); // nobody is watched once the core has ended
+    }
+}
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::call::{Answer, Call};
-use crate::driver::{Arrival, Message};
+use crate::message::{Arrival, Message};
 use crate::portion::Portion;
 
 /// What an open request is reckoned to hold in memory beside its command, in bytes.
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -5,7 +5,7 @@
 use lilacquay_steer::{Ask, Change, Done, Held, Kept, Listed, Refusal, Steer};
 use paddlefold::Micros;
 
-use crate::members::{Entry, List, State};
+use crate::list::{Entry, List, State};
 
 /// The orders that hold.
 #[derive(Debug, Clone)]
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -3,73 +3,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lilacquay_core::{Gauges, Portion, Requests};
+use lilacquay_core::Requests;
 use lilacquay_life::Bearing;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
-use tokio_util::task::TaskTracker;
 use tracing::warn;
 
 use crate::protocol::Protocol;
-use crate::seats::Seats;
-use crate::session::{LARGE, Session};
+use crate::session::Session;
+use crate::shared::{Bounds, Shared};
 
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
 
-/// How much clients may hold of a node.
-#[derive(Clone)]
-pub struct Bounds {
-    /// Connections that they may hold in any case ...
-    pub connections: usize,
-    /// ... and together with those to servers.
-    pub with_servers: usize,
-    /// What the core holds.
-    pub gauges: Arc<Gauges>,
-    /// Bytes for buffers that are not small.
-    pub memory: usize,
-    /// The part of these that is this process's.
-    pub portion: Portion,
-}
-
-impl Bounds {
-    /// How many connections from clients there may be now.
-    fn limit(&self) -> usize {
-        let free = self.portion.of(self.with_servers).saturating_sub(self.gauges.connections());
-        self.portion.of(self.connections).max(free)
-    }
-}
-
 /// What the connections of all fronts share. Cheap to clone.
 #[derive(Clone)]
 pub struct Hall(Arc<Shared>);
 
-pub(crate) struct Shared {
-    pub(crate) requests: Requests,
-    bounds: Bounds,
-    /// Connections on which nothing is owed.
-    pub(crate) seats: Arc<Seats>,
-    /// Told when a session has ended.
-    pub(crate) left: Notify,
-    /// Places for buffers that are not small, of [`LARGE`] bytes each ...
-    pub(crate) large: Arc<Semaphore>,
-    /// ... and how many there are.
-    pub(crate) places: u32,
-    /// What the node does now: whether it takes connections, and when those it has are closed.
-    pub(crate) bearing: watch::Receiver<Bearing>,
-    sessions: TaskTracker,
-}
-
 impl Hall {
     /// A hall without guests, of a node with this bearing.
     pub fn new(requests: Requests, bounds: Bounds, bearing: watch::Receiver<Bearing>) -> Self {
-        let places = u32::try_from(bounds.memory / LARGE).unwrap_or(u32::MAX).max(1);
-        let large = Arc::new(Semaphore::new(places as usize));
-        // Clients may hold a third of the descriptors: some of it stays free for their next connections.
-        let seats = Arc::new(Seats::new((bounds.connections * 3 / 4).max(1)));
-        let (left, sessions) = Default::default();
-        Hall(Arc::new(Shared { requests, bounds, seats, left, large, places, bearing, sessions }))
+        Hall(Arc::new(Shared::new(requests, bounds, bearing)))
     }
 
     /// Takes connections for as long as the node takes any, each with a protocol of its own: from when it is ready
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod resp;
 mod seats;
 mod session;
+mod shared;
 
-pub use hall::{Bounds, Hall};
+pub use hall::Hall;
 pub use protocol::{Input, Malformed, Parting, Protocol, Refusal};
+pub use shared::Bounds;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::{Answer, Call, Flow, Pending, VALUE_LIMIT};
+use lilacquay_core::{Answer, Call, Flow, Pending};
 use lilacquay_life::Manner;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -19,12 +19,10 @@
 use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::io::poll_read_buf;
 
-use crate::hall::Shared;
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use crate::seats::{Guest, Seat};
+use crate::shared::{LARGE, Shared};
 
-/// What one place of a buffer that is not small stands for, in bytes: most commands that are not small have one.
-pub(crate) const LARGE: usize = 2 * VALUE_LIMIT;
 /// Answers owed on one connection, errors among them; beyond that it is not read.
 const OWED: usize = 1024;
 /// Commands begun, and bytes of answers written, before others have their turn.
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -17,10 +17,10 @@
 use serde_json::{Value, json};
 
 use crate::appliance::Appliance;
-use crate::check::{Mistake, Mistakes, one_line, unreadable};
 use crate::etcd::Etcd;
 use crate::logging::Log;
 use crate::memcached::{Memcached, Ready};
+use crate::mistake::{Mistake, Mistakes, one_line, unreadable};
 use crate::options::Options;
 use crate::quota::Quota;
 
@@ -134,7 +134,7 @@
                 write!(f, "admin is {at}, as listen is; give it a port of its own")
             }
             ConfigError::Passed(why) => write!(f, "{PASSED}: {why}"),
-            ConfigError::Mistakes(source, mistakes) => f.write_str(&one_line(source, mistakes)),
+            ConfigError::Mistakes(source, mistakes) => f.write_str(&one_line(&source.path(), mistakes)),
         }
     }
 }
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod members;
 mod memcached;
+mod mistake;
 mod node;
 mod options;
 mod quota;
--- a/crates/lilacquay/src/members.rs
+++ b/crates/lilacquay/src/members.rs
@@ -11,9 +11,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::check::Mistake;
 use crate::cli::{MembersArgs, MembersOrder, PutArgs};
 use crate::etcd::Etcd;
+use crate::mistake::Mistake;
 
 /// After a failed renewal it is tried again this soon.
 const AGAIN: Duration = Duration::from_millis(500);
--- a/crates/lilacquay/src/memcached.rs
+++ b/crates/lilacquay/src/memcached.rs
@@ -12,7 +12,7 @@
 use lilacquay_fronts::memcache::{Abilities, Front};
 use paddlefold::setup::Names;
 
-use crate::check::{Mistake, Mistakes, unreadable};
+use crate::mistake::{Mistake, Mistakes, unreadable};
 use crate::section::{self, Section};
 
 /// How long a client waits, if the file does not say, in milliseconds.
--- a/crates/lilacquay/src/section.rs
+++ b/crates/lilacquay/src/section.rs
@@ -5,7 +5,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use crate::check::Mistakes;
+use crate::mistake::Mistakes;
 
 /// Reads a whole file; nothing if it is no TOML, which is noted.
 ///
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -5,14 +5,12 @@
 use hdrhistogram::Histogram;
 
 use crate::Micros;
-use crate::snapshot::{Second, Times};
+use crate::snapshot::{BUCKETS, Second, Times};
 
 /// Seconds that are kept.
 const KEPT: usize = 60;
 /// Longer times count as this.
 const LONGEST: Micros = 3_600_000_000;
-/// Buckets of a server's times.
-pub const BUCKETS: usize = 12;
 /// What a server's times are told of: the running span of this length and the one before.
 const SPAN: Micros = 10_000_000;
 
@@ -23,9 +21,6 @@
     (bucket + 1 < BUCKETS).then(|| 250 << bucket)
 }
 
-/// How many answers took how long, by [`bucket_limit`].
-pub type Spread = [u64; BUCKETS];
-
 /// The last minute.
 #[derive(Debug, Clone)]
 pub struct Figures {
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -12,12 +12,12 @@
 mod trail;
 
 pub use events::{Event, Events, Told};
-pub use figures::{BUCKETS, Figures, Spread, bucket_limit};
+pub use figures::{Figures, bucket_limit};
 pub use observer::{Observer, Request};
 pub use rules::Repeats;
 pub use snapshot::{
-    Answers, BoxNow, List, Measured, OrderNow, Rules, Second, ShareNow, SlowNow, Snapshot, Step, TenantNow,
-    Times,
+    Answers, BUCKETS, BoxNow, List, Measured, OrderNow, Rules, Second, ShareNow, SlowNow, Snapshot, Spread,
+    Step, TenantNow, Times,
 };
 pub use trail::{End, Kind, Waits};
 
--- a/crates/observe/src/observer.rs
+++ b/crates/observe/src/observer.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 
 use crate::Micros;
-use crate::figures::{Figures, Recent, Spread, bucket};
+use crate::figures::{Figures, Recent, bucket};
 use crate::rules::{Repeats, Tries};
-use crate::snapshot::{Answers, BoxNow, Measured, Rules, SlowNow, Snapshot, Step, TenantNow};
+use crate::snapshot::{Answers, BoxNow, Measured, Rules, SlowNow, Snapshot, Spread, Step, TenantNow};
 use crate::trail::{End, Kind, Trail, Waits, ms};
 
 /// Requests that are told as slow, of those that are open and of those that have ended.
--- a/crates/observe/src/snapshot.rs
+++ b/crates/observe/src/snapshot.rs
@@ -3,7 +3,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::figures::Spread;
+/// Buckets of a server's times.
+pub const BUCKETS: usize = 12;
+
+/// How many answers took how long, by [`bucket_limit`](crate::bucket_limit).
+pub type Spread = [u64; BUCKETS];
 
 /// A node at one moment.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
