Give up clients that take under 512 bytes a second, and keep each list entry once

Need: since a write is given up only for want of progress, one byte every few seconds could hold a connection to a server for ever; and the directory cloned each entry twice for the hand-over, on a path that lists of 10,000 pay. A piece of 16 KiB has 5 s and 32 more.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -23,7 +23,6 @@
 const REST: Duration = Duration::from_millis(1);
 
 struct Server<C> {
-    name: String,
     /// As the list has it.
     entry: Entry,
     addr: SocketAddr,
@@ -85,9 +84,9 @@
             let listed = |name: &String| names.binary_search_by(|e| e.id.cmp(name)).is_ok();
             let news = &mut self.news;
             self.servers.retain(|_, server| {
-                let stays = listed(&server.name);
+                let stays = listed(&server.entry.id);
                 if !stays {
-                    news.push((server.name.clone(), News::Gone));
+                    news.push((server.entry.id.clone(), News::Gone));
                 }
                 stays || server.close()
             });
@@ -104,8 +103,24 @@
             State::Draining => MemberState::Draining,
             State::Deleted => MemberState::Removed,
         };
+        let member = Member {
+            id,
+            state,
+            zone: setup.zone(Cow::Borrowed(&entry.zone)),
+            cell: entry.cell,
+            kind: setup.kind(Cow::Borrowed(&entry.kind)),
+            weight: entry.weight.unwrap_or(1.0),
+            started: Some(entry.started_ms).filter(|&t| t > 0.0).map(micros),
+            origin,
+            discards: origin || discards(&entry.kind),
+        };
+        if state == MemberState::Removed {
+            if let Some(server) = self.servers.remove(&id) {
+                server.standing.set(false); // attempts under way send nothing more
+            }
+            return member;
+        }
         let server = self.servers.entry(id).or_insert_with(|| Server {
-            name: entry.id.clone(),
             entry: entry.clone(),
             addr: entry.addr,
             origin,
@@ -115,7 +130,6 @@
             idle: Vec::new(),
         });
         server.origin = origin;
-        server.entry = entry.clone();
         // Another kind of machine may speak another protocol.
         if server.addr != entry.addr || *server.kind != *entry.kind {
             (server.addr, server.kind) = (entry.addr, entry.kind.as_str().into());
@@ -125,20 +139,8 @@
         if state != MemberState::Up {
             server.idle.clear();
         }
-        if state == MemberState::Removed {
-            self.servers.remove(&id);
-        }
-        Member {
-            id,
-            state,
-            zone: setup.zone(Cow::Owned(entry.zone)),
-            cell: entry.cell,
-            kind: setup.kind(Cow::Borrowed(&entry.kind)),
-            weight: entry.weight.unwrap_or(1.0),
-            started: Some(entry.started_ms).filter(|&t| t > 0.0).map(micros),
-            origin,
-            discards: origin || discards(&entry.kind),
-        }
+        server.entry = entry;
+        member
     }
 
     /// Notes what an entry changes.
@@ -161,7 +163,7 @@
     /// The id of a name, which is the same at every node: a hash, and the next one where two names share it.
     fn id_of(&self, name: &str) -> ServerId {
         let ids = (0..).map(|seed| ServerId(xxh3_64_with_seed(name.as_bytes(), seed) as u32));
-        let mut free = ids.filter(|id| self.servers.get(id).is_none_or(|server| server.name == name));
+        let mut free = ids.filter(|id| self.servers.get(id).is_none_or(|server| server.entry.id == name));
         free.next().expect("the ids outnumber the servers")
     }
 
@@ -222,12 +224,12 @@
     pub fn by_name(&self) -> HashMap<&str, (ServerId, bool, usize)> {
         let entry =
             |(id, server): (&ServerId, &Server<C>)| (*id, server.standing.serving(), server.idle.len());
-        self.servers.iter().map(|one| (one.1.name.as_str(), entry(one))).collect()
+        self.servers.iter().map(|one| (one.1.entry.id.as_str(), entry(one))).collect()
     }
 
     /// The names of all servers.
     pub fn names(&self) -> HashMap<ServerId, &str> {
-        self.servers.iter().map(|(id, server)| (*id, server.name.as_str())).collect()
+        self.servers.iter().map(|(id, server)| (*id, server.entry.id.as_str())).collect()
     }
 
     /// How many connections are idle.
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -16,7 +16,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::io::poll_read_buf;
 
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
@@ -45,8 +45,10 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// After what can't be read, answers that are owed are waited for so long.
 const PARTING: Duration = Duration::from_millis(1500);
-/// A client that takes no byte of its answers for so long is given up.
+/// A client that takes no byte of its answers for so long is given up ...
 const STUCK: Duration = Duration::from_secs(5);
+/// ... as is one that takes fewer than so many in a second, of any piece.
+const LEAST_RATE: usize = 512;
 
 /// When a connection is closed because the node takes leave of it.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -398,10 +400,12 @@
 
 /// Writes to a client that takes some bytes now and then.
 ///
-/// Guards against: one that takes none for long, and one that reads slowly given up like it.
+/// Guards against: one that takes none for long, or so few that it holds a server's connection for ever, and one that
+/// reads slowly given up like them.
 async fn write(writer: &mut WriteHalf<'_>, mut text: &[u8]) -> io::Result<()> {
+    let last = Instant::now() + STUCK + Duration::from_secs((text.len() / LEAST_RATE) as u64);
     while !text.is_empty() {
-        match timeout(STUCK, writer.write(text)).await?? {
+        match timeout_at(last.min(Instant::now() + STUCK), writer.write(text)).await?? {
             0 => return Err(io::ErrorKind::WriteZero.into()),
             written => text = &text[written..],
         }
