--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -231,8 +231,10 @@
             driver.balancer.resume(learned);
         }
         driver.count();
-        let (requests, orders) =
-            (Requests::new(to.clone(), options.memory, options.portion), Orders(to.clone()));
+        let (requests, orders) = (
+            Requests::new(to.clone(), options.memory, options.portion, driver.book.clone()),
+            Orders(to.clone()),
+        );
         (driver, Handles { requests, members: Members { to, source: "configuration", asked }, orders })
     }
 
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use lilacquay_figures::{Book, End};
 use paddlefold::RequestId;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -29,6 +30,7 @@
     held: Arc<AtomicUsize>,
     memory: usize,
     portion: Portion,
+    book: Book,
 }
 
 /// A request with this id is open.
@@ -36,9 +38,9 @@
 pub struct InUse;
 
 impl Requests {
-    pub(crate) fn new(to: UnboundedSender<Message>, memory: usize, portion: Portion) -> Self {
+    pub(crate) fn new(to: UnboundedSender<Message>, memory: usize, portion: Portion, book: Book) -> Self {
         let (next_id, open_ids, held) = Default::default();
-        Requests { to, next_id, open_ids, held, memory, portion }
+        Requests { to, next_id, open_ids, held, memory, portion, book }
     }
 
     /// Opens a request whose last byte was read `at` that time and which came as so many bytes.
@@ -56,6 +58,12 @@
         Ok(Pending { id, answer, answered: false, to: self.to.clone(), _open_id: open_id, _held: held })
     }
 
+    /// A request was answered as failed before it was opened: it counts as such.
+    pub fn not_begun(&self, class: Option<usize>) {
+        self.book.taken();
+        self.book.ended(class, Some(End::Failed));
+    }
+
     /// Whether open requests leave memory for more. A front should read on only then, but for one request of
     /// each connection.
     pub fn have_room(&self) -> bool {
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -379,6 +379,7 @@
     }
 
     fn request(&mut self, call: Call, reply: P::Reply, length: usize) -> Owed<P::Reply> {
+        let class = call.class;
         let opened = match self.open < P::AT_ONCE {
             true => self.hall.requests.open(call, self.read_at, length).map_err(|_| Refusal::InUse),
             false => Err(Refusal::TooMany),
@@ -390,6 +391,7 @@
                 Owed::Waiting(Waiting { pending, reply, _places: places })
             }
             Err(why) => {
+                self.hall.requests.not_begun(class);
                 let mut text = BytesMut::new();
                 self.protocol.refuse(reply, why, &mut text);
                 Owed::Ready(text)
--- a/crates/lilacquay/tests/operation.rs
+++ b/crates/lilacquay/tests/operation.rs
@@ -84,12 +84,21 @@
     until("it is in progress", || figure(&say(admin, b"DUMP\n"), "in_progress") == 1);
     call.value("v");
     assert_eq!(client.answer().as_deref(), Some("v"));
+    // One whose id is another's is failed before it is begun, and counts.
+    let (mut one, mut other) = (node.client(), node.client());
+    one.get("k", FACTS);
+    let open = site.cache.call();
+    other.get("k", FACTS);
+    assert_eq!(other.answer().as_deref(), Some("-ERR id in use"));
+    open.value("v");
+    assert_eq!(one.answer().as_deref(), Some("v"));
     let dump = say(admin, b"DUMP\n");
     assert!(dump.ends_with("--\n"), "{dump}");
     for (name, value) in [
-        ("handled.read.passed", 1),
+        ("handled.read.passed", 2),
+        ("handled.read.bad_gateway", 1),
         ("handled.put.passed", 0),
-        ("upstream_tries", 1),
+        ("upstream_tries", 2),
         ("in_progress", 0),
         ("known_cache_servers", 1),
         ("skipped_cache_servers", 0),
