--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -135,10 +135,21 @@
     ) -> io::Result<(Subject, BufReader<ChildStderr>)> {
         let mut child = command.stderr(Stdio::piped()).spawn()?;
         let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
-        let (mut log, mut first) = (BufReader::new(log), String::new());
-        log.read_line(&mut first)?;
-        let addr = first.trim().rsplit_once("listening on ").and_then(|(_, addr)| addr.parse().ok());
-        let addr = addr.ok_or_else(|| io::Error::other(format!("did not come up: {first}")))?;
+        let mut log = BufReader::new(log);
+        // What it says before, of a process that hands over to it, is passed over.
+        let addr = loop {
+            let mut line = String::new();
+            log.read_line(&mut line)?;
+            match line.trim().rsplit_once("listening on ").map(|(_, addr)| addr.parse()) {
+                Some(Ok(addr)) => break addr,
+                None if !line.is_empty() => {}
+                Some(Err(_)) | None => {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                    return Err(io::Error::other(format!("did not come up: {line}")));
+                }
+            }
+        };
         Ok((Subject { child, addr, folder }, log))
     }
 
--- a/crates/lilacquay/tests/memcached.rs
+++ b/crates/lilacquay/tests/memcached.rs
@@ -297,9 +297,9 @@
     assert_eq!((status(&answer), answer.opaque), (Status::VALUE_TOO_LARGE, 0xdead_beef));
     assert!(widget.answer().is_none(), "closed");
     let mut widget = stage.widget();
-    widget.send(&set(Opcode::Set, "k1", &"x".repeat((64 << 10) + 1), 1));
+    widget.send(&set(Opcode::Set, "k1", &"x".repeat((4 << 20) + 1), 1));
     assert_eq!(status(&widget.answer().unwrap()), Status::VALUE_TOO_LARGE);
-    widget.send(&set(Opcode::Set, "k1", &"x".repeat(64 << 10), 2));
+    widget.send(&set(Opcode::Set, "k1", &"x".repeat(4 << 20), 2));
     assert_eq!(status(&widget.answer().unwrap()), Status::OK);
 }
 
