Close on nobody because a second process has taken half of the bounds

Cause, proved by a test: when the next process is tied, the old one's limit falls to its half (hall.rs take, Bounds::limit), and at the next accept it closed one guest after another down to that, those in the midst of a command too: of 100 connections with half a command 47 were closed. Ruled out: lost wake-ups on the shared socket and an early end (logs: each old process ended 0.81 s after SIGTERM with nothing open), and the settled state of flows.

Change: in company nobody who may be about to ask is closed on before the other process has had 100 ms to take who comes, and then one goes for one that comes (door::goes, without I/O). Test: the 100 are all answered; 53 were before.

--- a/crates/core/src/portion.rs
+++ b/crates/core/src/portion.rs
@@ -1,31 +1,43 @@
 //! The part of a node's bounds that is one process's, while two of them are the node.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 /// All of it, in thousandths.
 const WHOLE: u32 = 1000;
 
 /// A part of all bounds, which may change while they hold. Clones are of one part.
 #[derive(Debug, Clone)]
-pub struct Portion(Arc<AtomicU32>);
+pub struct Portion(Arc<Part>);
+
+#[derive(Debug)]
+struct Part {
+    thousandths: AtomicU32,
+    in_company: AtomicBool,
+}
 
 impl Default for Portion {
     /// The whole.
     fn default() -> Self {
-        Portion(Arc::new(AtomicU32::new(WHOLE)))
+        Portion(Arc::new(Part { thousandths: AtomicU32::new(WHOLE), in_company: AtomicBool::new(false) }))
     }
 }
 
 impl Portion {
-    /// Is so many thousandths from now on.
-    pub fn set(&self, thousandths: u32) {
-        self.0.store(thousandths.min(WHOLE), Ordering::Relaxed);
+    /// Is so many thousandths from now on; `in_company`: another process has the rest and takes connections too.
+    pub fn set(&self, thousandths: u32, in_company: bool) {
+        self.0.thousandths.store(thousandths.min(WHOLE), Ordering::Relaxed);
+        self.0.in_company.store(in_company, Ordering::Relaxed);
+    }
+
+    /// Whether another process has the rest and takes connections too.
+    pub fn in_company(&self) -> bool {
+        self.0.in_company.load(Ordering::Relaxed)
     }
 
     /// The part of a bound; never nothing.
     pub fn of(&self, whole: usize) -> usize {
-        let thousandths = self.0.load(Ordering::Relaxed) as usize;
+        let thousandths = self.0.thousandths.load(Ordering::Relaxed) as usize;
         (whole.saturating_mul(thousandths) / WHOLE as usize).max(1)
     }
 }
--- a/crates/fronts/src/door.rs
+++ b/crates/fronts/src/door.rs
@@ -10,6 +10,10 @@
 //! 3. who is silent, however new;
 //! 4. who is in the midst of a command: the one who has been at it for longest, since true ones come to an end.
 //!
+//! While another process takes connections at the same address, whoever is at its part of the bounds closes on nobody
+//! who may be about to ask (3 and 4) before the other has had the time to take who comes, and then one goes for one that
+//! comes: a part that has just become smaller is no reason to close what it holds. [`goes`] says which.
+//!
 //! A step costs no more with a hundred thousand guests than with ten but for the depth of a tree.
 
 use std::collections::BTreeMap;
@@ -22,6 +26,23 @@
 /// A connection that has been of use is left in peace for so long.
 pub const IN_USE: Micros = 2_000_000;
 
+/// With another process at the same address, who comes is its guest within so long, if it has room.
+pub const COMPANY: Micros = 100_000;
+
+/// Who may be closed for one that wants to come in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Goes {
+    /// Only who is silent for long, or rests for long.
+    Idle,
+    /// Whoever is next.
+    Anyone,
+}
+
+/// Who may be closed for one that has waited for so long.
+pub fn goes(in_company: bool, waited: Micros) -> Goes {
+    if in_company && waited < COMPANY { Goes::Idle } else { Goes::Anyone }
+}
+
 /// What a guest does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Guest {
@@ -93,8 +114,8 @@
         self.of(place.guest).remove(&(place.since, place.number))
     }
 
-    /// Who has to go so that another may come in; nobody if there are no guests.
-    pub fn make_room(&mut self, now: Micros) -> Option<T> {
+    /// Who has to go so that another may come in; nobody if there are no such guests.
+    pub fn make_room(&mut self, now: Micros, goes: Goes) -> Option<T> {
         let waited = |guests: &BTreeMap<(Micros, u64), T>, time: Micros| {
             guests.first_key_value().is_some_and(|((since, _), _)| now >= since.saturating_add(time))
         };
@@ -102,6 +123,8 @@
             Guest::Silent
         } else if waited(&self.resting, IN_USE) {
             Guest::Resting
+        } else if goes == Goes::Idle {
+            return None;
         } else if !self.silent.is_empty() {
             Guest::Silent
         } else {
@@ -135,15 +158,16 @@
                         Some(number)
                     }
                     1 => {
+                        let who = [Goes::Idle, Goes::Anyone][rng.usize(0..2)];
                         let since = |number| plain.iter().find(|p| p.1 == number).map_or(0, |p| p.0.since);
                         let (silent, resting) =
                             (oldest(&plain, Guest::Silent), oldest(&plain, Guest::Resting));
                         let expected = silent
                             .filter(|&n| now >= since(n) + NEW)
                             .or(resting.filter(|&n| now >= since(n) + IN_USE))
-                            .or(silent)
-                            .or(oldest(&plain, Guest::Sending));
-                        let goes = door.make_room(now);
+                            .or(silent.filter(|_| who == Goes::Anyone))
+                            .or(oldest(&plain, Guest::Sending).filter(|_| who == Goes::Anyone));
+                        let goes = door.make_room(now, who);
                         assert_eq!(goes, expected, "seed {seed}");
                         goes
                     }
@@ -162,6 +186,12 @@
         }
     }
 
+    #[test]
+    fn in_company_nobody_who_may_ask_goes_before_the_other_process_had_its_time() {
+        assert_eq!([goes(true, 0), goes(true, COMPANY - 1)], [Goes::Idle; 2]);
+        assert_eq!([goes(true, COMPANY), goes(false, 0)], [Goes::Anyone; 2]);
+    }
+
     #[test]
     fn a_step_among_a_hundred_thousand_is_quick() {
         let mut door = Door::new(100_000);
@@ -172,7 +202,7 @@
                 door.leave(place);
             }
         }
-        while door.make_room(u64::MAX).is_some() {}
+        while door.make_room(u64::MAX, Goes::Anyone).is_some() {}
         // A walk over all guests at each step took minutes.
         assert!(start.elapsed() < std::time::Duration::from_secs(10), "{:?}", start.elapsed());
     }
--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/hall.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout};
 use tracing::warn;
 
+use crate::door::{Goes, Micros, goes};
 use crate::protocol::Protocol;
 use crate::session::Session;
 use crate::shared::{Bounds, Shared};
@@ -47,9 +48,7 @@
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
             // the servers leave free is the clients' too: many have asked once and stay.
-            while self.0.sessions.len() >= self.0.bounds.limit() {
-                self.make_room().await;
-            }
+            self.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let session = Session::new(self.0.clone(), protocol());
@@ -58,12 +57,27 @@
                 // Guards against: an exit, or a busy loop, when descriptors run out.
                 Err(error) => {
                     warn!("accept: {error}");
-                    self.make_room().await;
+                    self.make_room(Goes::Anyone).await;
                 }
             }
         }
     }
 
+    /// Waits until there is room for one more.
+    ///
+    /// In company one goes for one that comes, at most: a part of the bounds that has become smaller than what it holds
+    /// is no reason to close on those who are there.
+    async fn room(&self) {
+        let (start, bounds) = (Instant::now(), &self.0.bounds);
+        while self.0.sessions.len() >= bounds.limit() {
+            let waited = start.elapsed().as_micros() as Micros;
+            let cleared = self.make_room(goes(bounds.portion.in_company(), waited)).await;
+            if cleared && bounds.portion.in_company() {
+                return;
+            }
+        }
+    }
+
     /// How many connections there are.
     pub fn guests(&self) -> usize {
         self.0.sessions.len()
@@ -75,10 +89,11 @@
         self.0.sessions.wait().await;
     }
 
-    /// Has a connection closed, and waits for its end, or for a while.
-    async fn make_room(&self) {
+    /// Has a connection closed, if there is one that may, and waits for its end, or for a while. Tells whether there was.
+    async fn make_room(&self, goes: Goes) -> bool {
         let left = self.0.left.notified();
-        self.0.seats.clear_one(Instant::now());
+        let cleared = self.0.seats.clear_one(Instant::now(), goes);
         let _ = timeout(PAUSE, left).await; // looked at again either way
+        cleared
     }
 }
--- a/crates/fronts/src/seats.rs
+++ b/crates/fronts/src/seats.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 pub use crate::door::Guest;
-use crate::door::{Door, Micros, Place};
+use crate::door::{Door, Goes, Micros, Place};
 
 /// Where connections without an open request wait.
 pub struct Seats {
@@ -37,9 +37,9 @@
         Seat { place, cleared, seats: self.clone() }
     }
 
-    /// Has one closed, if there is any; it sees its sender go.
-    pub fn clear_one(&self, now: Instant) {
-        drop(self.door().make_room(self.micros(now)));
+    /// Has one closed, if there is any such; it sees its sender go.
+    pub fn clear_one(&self, now: Instant, goes: Goes) -> bool {
+        self.door().make_room(self.micros(now), goes).is_some()
     }
 }
 
--- a/crates/handover/src/tie.rs
+++ b/crates/handover/src/tie.rs
@@ -100,6 +100,11 @@
         self.given.is_some()
     }
 
+    /// Whether another process of the node is alive and known to this one: each of the two may take who comes.
+    pub fn in_company(&self) -> bool {
+        self.has_heir() || matches!(self.above, Above::Tied(_))
+    }
+
     /// What this process may use, in thousandths. It may hold more for a while after its limit has fallen.
     pub fn limit(&self) -> u32 {
         match (self.above, self.given) {
--- a/crates/lilacquay/src/handover.rs
+++ b/crates/lilacquay/src/handover.rs
@@ -194,7 +194,7 @@
                 let _ = heir.say(&Message::Grant(all)).await;
             }
         }
-        self.portion.set(self.tie.limit());
+        self.portion.set(self.tie.limit(), self.tie.in_company());
     }
 
     /// Keeps the tie for as long as the process runs; ends only with it. `holds` tells what it holds, in thousandths.
@@ -289,7 +289,7 @@
             warn!("handing over: {error}");
         }
         self.heir = Some(peer); // whatever it has understood: what it was granted comes back once it is dead
-        self.portion.set(self.tie.limit());
+        self.portion.set(self.tie.limit(), self.tie.in_company());
     }
 
     async fn hand_over(&self, heir: &mut Peer, actions: &[Action], orders: &Orders) -> io::Result<()> {
--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -8,7 +8,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use common::{Fake, Node, PATIENCE, Start, list};
+use common::{Client, Fake, Node, PATIENCE, Start, list};
 use lilacquay_fleet::clients::{self, Load};
 use lilacquay_fleet::script::Step;
 use lilacquay_fleet::verdict::check;
@@ -25,6 +25,7 @@
     other: Fake,
     origin: Fake,
     discovery: Fake,
+    sockets: usize,
 }
 
 impl Platform {
@@ -32,7 +33,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let passed = rustix::io::dup(&listener).unwrap(); // inherited by programs that are executed
         let (cache, other, origin, discovery) = (Fake::cache(), Fake::cache(), Fake::http(), Fake::http());
-        Platform { listener, passed, folder: tempfile::tempdir().unwrap(), cache, other, origin, discovery }
+        Platform {
+            listener,
+            passed,
+            folder: tempfile::tempdir().unwrap(),
+            cache,
+            other,
+            origin,
+            discovery,
+            sockets: 1024,
+        }
     }
 
     fn start(&self) -> (Node, SocketAddr) {
@@ -47,7 +57,8 @@
             // Where the folder is used, the node is told where it listens: all its processes meet by that port.
             ("EDGE_LISTEN", self.listener.local_addr().unwrap().to_string()),
         ];
-        let (node, admin) = Start::new(&known, self.discovery.addr).operated(&environment);
+        let (node, admin) =
+            Start { sockets: self.sockets, ..Start::new(&known, self.discovery.addr) }.operated(&environment);
         until("it is ready", || say(admin, "HEALTH") == "ACK\n");
         (node, admin)
     }
@@ -300,3 +311,23 @@
     let served = report.served().len() as usize;
     assert!(served > report.asks.len() * 9 / 10, "{served} of {}", report.asks.len());
 }
+
+/// The old process holds more connections than its half when the new one comes, some with half a command. None of those is
+/// closed on for who comes then: the new one is there to take them.
+#[test]
+fn a_half_that_is_exceeded_when_the_next_process_comes_closes_on_nobody_who_is_sending() {
+    let platform = Platform { sockets: 192, ..Platform::new() };
+    let (old, _) = platform.start();
+    let mut half: Vec<_> = (0..100).map(|_| old.client()).collect();
+    half.iter_mut().for_each(|client| client.write("*1\r\n$4\r\nPI"));
+    old.client().ping(); // behind all of those, so that they are accepted
+    let (new, _) = platform.start();
+    for _ in 0..20 {
+        Client::to(new.addr()).ping(); // whichever takes it
+    }
+    let answered = half.iter_mut().filter_map(|client| {
+        client.try_write("NG\r\n");
+        client.answer()
+    });
+    assert_eq!(answered.count(), 100, "all who were sending are answered");
+}
