Keep a hand-over that breaks off in the midst from leaving a process stuck

Need: read once more, a process that had been taken for an heir and then heard something it can't read, or nothing, kept no connection to its elder: it never learned of that one's death and stayed with what it had been granted, which may be nothing. And one whose socket can't be made tried and warned 20 times a second.

Change: the elder is kept from the moment it takes the heir; what broke off is Unanswered in the tie, which leaves what was granted or the reserve; listening is tried again after 10 s.

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -57,6 +57,13 @@
 pub struct Orders(pub(crate) UnboundedSender<Message>);
 
 impl Orders {
+    /// Asks something of the core. Its end shows at the receiver.
+    fn ask<T>(&self, message: impl FnOnce(oneshot::Sender<T>) -> Message) -> oneshot::Receiver<T> {
+        let (answer, told) = oneshot::channel();
+        let _ = self.0.send(message(answer)); // a core that has ended drops the sender
+        told
+    }
+
     /// Goes by other quotas from now on. A core that was made without keeps none.
     pub fn quotas(&self, quotas: Admission) {
         let _ = self.0.send(Message::Quotas(Box::new(quotas))); // nobody goes by them once the core has ended
@@ -65,24 +72,18 @@
     /// Gives an operator's order on a server; the answer tells whether it is obeyed. A core that was made without
     /// steering, or has ended, answers nothing.
     pub fn steer(&self, ask: Ask) -> oneshot::Receiver<Result<Done, Refusal>> {
-        let (answer, told) = oneshot::channel();
-        let _ = self.0.send(Message::Steer(Box::new(ask), answer)); // its end shows at the receiver
-        told
+        self.ask(|answer| Message::Steer(Box::new(ask), answer))
     }
 
     /// The servers of the list and what is out at each. A core that was made without steering, or has ended,
     /// answers nothing.
     pub fn servers(&self) -> oneshot::Receiver<Vec<ServerNow>> {
-        let (answer, told) = oneshot::channel();
-        let _ = self.0.send(Message::Servers(answer)); // its end shows at the receiver
-        told
+        self.ask(Message::Servers)
     }
 
     /// The node at this moment. A core that has ended answers nothing.
     pub fn look(&self) -> oneshot::Receiver<Snapshot> {
-        let (answer, told) = oneshot::channel();
-        let _ = self.0.send(Message::Look(answer)); // its end shows at the receiver
-        told
+        self.ask(Message::Look)
     }
 
     /// Has figures gathered until this is dropped.
@@ -93,16 +94,12 @@
 
     /// What another process needs to go on in this one's place. A core that has ended answers nothing.
     pub fn hand_over(&self) -> oneshot::Receiver<Heritage> {
-        let (answer, told) = oneshot::channel();
-        let _ = self.0.send(Message::HandOver(answer)); // its end shows at the receiver
-        told
+        self.ask(Message::HandOver)
     }
 
     /// The orders that hold. A core that was made without steering, or has ended, answers nothing.
     pub fn holding(&self) -> oneshot::Receiver<Holding> {
-        let (answer, told) = oneshot::channel();
-        let _ = self.0.send(Message::Holding(answer)); // its end shows at the receiver
-        told
+        self.ask(Message::Holding)
     }
 }
 
--- a/crates/handover/src/tie.rs
+++ b/crates/handover/src/tie.rs
@@ -41,7 +41,7 @@
 pub enum Event {
     /// No process was there before, or none is left.
     Alone,
-    /// A process is there, and does not answer or can't be understood.
+    /// A process is there, and does not answer or can't be understood, or no longer.
     Unanswered,
     /// The elder has taken this one for its heir.
     Tied,
@@ -121,7 +121,10 @@
     pub fn on(&mut self, event: Event) -> Vec<Action> {
         match event {
             Event::Alone => self.above = Above::Nobody,
-            Event::Unanswered if self.above == Above::Asking => self.above = Above::Untied,
+            // What was granted stays so, if it is more than what is kept for this.
+            Event::Unanswered if !matches!(self.above, Above::Tied(RESERVE..) | Above::Nobody) => {
+                self.above = Above::Untied;
+            }
             Event::Tied if matches!(self.above, Above::Asking | Above::Untied) => self.above = Above::Tied(0),
             // What was granted before a later grant came is part of that.
             Event::Granted(all) => {
--- a/crates/handover/tests/model.rs
+++ b/crates/handover/tests/model.rs
@@ -119,8 +119,10 @@
             if process.hangs {
                 continue;
             }
-            if process.tie.above() == Above::Asking && process.inbox.is_empty() {
-                steps.extend([Step::Ask(n), Step::GiveUp(n)]);
+            match process.tie.above() {
+                Above::Asking if process.inbox.is_empty() => steps.extend([Step::Ask(n), Step::GiveUp(n)]),
+                Above::Asking | Above::Tied(_) => steps.push(Step::GiveUp(n)), // in the midst of what is told
+                Above::Untied | Above::Nobody => {}
             }
             if !process.inbox.is_empty() {
                 steps.push(Step::Read(n));
--- a/crates/lilacquay/src/handover.rs
+++ b/crates/lilacquay/src/handover.rs
@@ -31,6 +31,8 @@
 const PATIENCE: Duration = Duration::from_secs(4);
 /// How often it is looked at what is held, and who has died.
 const LOOK: Duration = Duration::from_millis(50);
+/// Where it can't be listened, it is tried again after so long.
+const NEXT_LISTEN: Duration = Duration::from_secs(10);
 /// The forms of the parts.
 const LIST: u32 = 1;
 const LEARNED: u32 = 1;
@@ -73,6 +75,8 @@
     elder: Option<Peer>,
     heir: Option<Peer>,
     listener: Option<UnixListener>,
+    /// When it may be tried to listen, after it has failed.
+    listens_at: Instant,
 }
 
 /// The other end of a tie.
@@ -128,24 +132,26 @@
     pub async fn begin(place: Place, portion: Portion) -> io::Result<(Succession, Received)> {
         let lock = place.lock()?;
         let (tie, elder, heir, listener) = Default::default();
-        let mut this = Succession { place, tie, portion, lock, elder, heir, listener };
+        let listens_at = Instant::now();
+        let mut this = Succession { place, tie, portion, lock, elder, heir, listener, listens_at };
         let (until, mut received) = (Instant::now() + PATIENCE, Received::default());
         loop {
             if this.is_alone() {
                 this.on(Event::Alone).await;
                 break;
             }
-            match timeout(ANSWER, this.ask()).await {
-                Ok(Ok(Some(told))) => {
-                    received = told;
-                    break;
-                }
+            let asked = timeout(ANSWER, this.ask(&mut received)).await;
+            match asked {
+                Ok(Ok(true)) => break,
                 // Told to wait, or nobody listens yet.
-                Ok(Ok(None) | Err(_)) if Instant::now() < until => sleep(AGAIN).await,
-                Ok(_) | Err(_) => {
+                Ok(Ok(false) | Err(_)) if this.elder.is_none() && Instant::now() < until => {
+                    sleep(AGAIN).await
+                }
+                _ => {
                     warn!(
                         "another process of this node lives and hands nothing over: served with what is kept for that"
                     );
+                    this.elder.iter_mut().for_each(|elder| elder.ended = true); // its death is looked for
                     this.on(Event::Unanswered).await;
                     break;
                 }
@@ -162,27 +168,23 @@
         alone && shown
     }
 
-    /// Asks whoever listens. Nothing if it is told to wait.
-    async fn ask(&mut self) -> io::Result<Option<Received>> {
+    /// Asks whoever listens, and takes what that tells. False if it is told to wait.
+    async fn ask(&mut self, received: &mut Received) -> io::Result<bool> {
         let mut peer = Peer::new(UnixStream::connect(&self.place.socket).await?)?;
         let build = env!("CARGO_PKG_VERSION").to_owned();
         peer.say(&Message::Asks { pid: std::process::id(), build }).await?;
-        let mut received = Received::default();
+        let Message::Taken { build, .. } = peer.hear().await? else { return Ok(false) };
+        info!("process {} of build {build} hands over", peer.pid);
+        // From here on it has an heir, whatever becomes of the words between the two.
+        self.elder = Some(peer);
+        self.on(Event::Tied).await;
         loop {
-            match peer.hear().await? {
-                Message::Wait => return Ok(None),
-                Message::Taken { build, .. } => {
-                    info!("process {} of build {build} hands over", peer.pid);
-                    self.on(Event::Tied).await;
-                }
+            match hear(&mut self.elder).await? {
                 Message::Part { name, version, body } => received.take(&name, version, body),
                 Message::Grant(all) => self.on(Event::Granted(all)).await,
                 // With nothing granted it could serve nobody: the elder lets go of something first.
-                Message::Whole if self.tie.limit() > 0 => {
-                    self.elder = Some(peer);
-                    return Ok(Some(received));
-                }
-                Message::Whole | Message::Asks { .. } => {}
+                Message::Whole if self.tie.limit() > 0 => return Ok(true),
+                Message::Whole | Message::Wait | Message::Taken { .. } | Message::Asks { .. } => {}
             }
         }
     }
@@ -207,7 +209,8 @@
         let (mut stopping, mut looks) = (false, interval(LOOK));
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            if self.tie.above() == Above::Nobody && self.listener.is_none() && !stopping {
+            let listens = self.listener.is_some() || stopping || Instant::now() < self.listens_at;
+            if self.tie.above() == Above::Nobody && !listens {
                 self.listen();
             }
             tokio::select! {
@@ -266,7 +269,10 @@
         });
         match listener {
             Ok(listener) => self.listener = Some(listener),
-            Err(error) => warn!("no process can take over from this one: {error}; make {:?} writable", fresh),
+            Err(error) => {
+                self.listens_at = Instant::now() + NEXT_LISTEN;
+                warn!("no process can take over from this one: {error}; make {fresh:?} writable");
+            }
         }
     }
 
--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -13,6 +13,7 @@
 use lilacquay_fleet::script::Step;
 use lilacquay_fleet::verdict::check;
 use lilacquay_fleet::{Fleet, Plan};
+use lilacquay_handover::form;
 
 const FACTS: &str = "c=read,d=2000";
 
@@ -331,3 +332,27 @@
     });
     assert_eq!(answered.count(), 100, "all who were sending are answered");
 }
+
+/// One that lives takes the next process for its heir, and then breaks off in the midst, or speaks what can't be read.
+#[test]
+fn a_tale_that_breaks_off_leaves_a_process_that_serves() {
+    for rest in [&b""[..], b"what is this", b"LQ\x01\0\0\0\0\x02\0\0\0\0\0\0\0\0{}"] {
+        let platform = Platform::new();
+        let port = platform.listener.local_addr().unwrap().port();
+        let at = |ending: &str| platform.folder.path().join(format!("lilacquay-{port}.{ending}"));
+        let lock = std::fs::File::create(at("lock")).unwrap();
+        rustix::fs::flock(&lock, rustix::fs::FlockOperation::LockShared).unwrap();
+        let place = std::os::unix::net::UnixListener::bind(at("next")).unwrap();
+        let elder = std::thread::spawn(move || {
+            let (mut heir, _) = place.accept().unwrap();
+            let mut text = bytes::BytesMut::new();
+            form::put(&form::Message::Taken { pid: 0, build: "another".into() }, &mut text);
+            heir.write_all(&[&text[..], rest].concat()).unwrap();
+            heir // open, unless there is nothing more to say
+        });
+        let (node, _) = platform.start();
+        assert!(node.early.iter().any(|line| line.contains("hands nothing over")), "{:?}", node.early);
+        served(&platform, &node);
+        drop(elder.join().unwrap());
+    }
+}
