Answer on the second address while the process before still hands over

Need: read once more, the second address listened from the start, but was served only after the hand-over: a third process that waits up to 4 s for its turn left each HEALTH unanswered for as long, where 1 s is due.

--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -80,6 +80,14 @@
     };
     let keeper = Keeper::new(Duration::from_micros(config.setup.longest_deadline), config.passed.is_some());
     let book = Book::new(config.setup.names.all_classes());
+    // All of it ends with this function, so that a core that has failed leaves nothing behind.
+    let mut parts = JoinSet::new();
+    // Guards against: calls that wait for as long as the process before takes to hand over.
+    if let Some(second) = second {
+        info!("the second address is {}", second.local_addr()?);
+        let (keeper, book, prometheus) = (keeper.clone(), book.clone(), config.prometheus);
+        parts.spawn(Admin::new(second, Desk { keeper, book, prometheus, audit: state.clone() }).run());
+    }
     let (connections, memory) = (config.server_connections(), config.request_memory());
     let portion = Portion::default();
     let place = config.passed.as_ref().and_then(|_| config.shared_folder.clone());
@@ -99,7 +107,7 @@
         connections,
         memory,
         quotas,
-        book: book.clone(),
+        book,
         version,
         learned: received.learned,
         portion: portion.clone(),
@@ -116,10 +124,7 @@
         fronts.push((bind(listener.address).await?, listener));
     }
     let mut driver = AbortOnDropHandle::new(tokio::spawn(driver.run()));
-    // All of it ends with this function, so that a core that has failed leaves nothing behind.
-    let mut parts = JoinSet::new();
     let (to_node, commands) = mpsc::channel(COMMANDS);
-    let audit = state.clone();
     if let Some(state) = state {
         let host = Host {
             events: logging.events.clone(),
@@ -143,11 +148,6 @@
         }));
     }
     info!("listening on {}", listener.local_addr()?);
-    if let Some(second) = second {
-        info!("the second address is {}", second.local_addr()?);
-        let desk = Desk { keeper: keeper.clone(), book, prometheus: config.prometheus, audit };
-        parts.spawn(Admin::new(second, desk).run());
-    }
     if let Some(succession) = succession {
         let (hall, gauges, most) = (hall.clone(), gauges.clone(), config.connections());
         let holds = move || ((hall.guests() + gauges.connections()) * 1000 / most) as u32;
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -381,7 +381,7 @@
         command.env("EDGE_CONFIG", &file).env("EDGE_ADMIN", "127.0.0.1:0");
         let (mut node, log) = Node::begin(command, file, Some(folder));
         node.read_log(log);
-        let line = node.logged("the second address is");
+        let line = node.early.iter().find(|line| line.contains("the second address is")).expect("the line");
         let admin = line.rsplit(' ').next().and_then(|addr| addr.parse().ok()).expect("an address");
         (node, admin)
     }
--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -178,6 +178,12 @@
     });
     let (third, third_admin) = platform.start();
     first_ends.join().unwrap();
+    assert!(
+        third.early.iter().position(|line| line.contains("second address"))
+            < third.early.iter().position(|line| line.contains("hands over")),
+        "its second address answers while it waits: {:?}",
+        third.early
+    );
     assert!(third.early.iter().any(|line| line.contains("hands over")), "{:?}", third.early);
     assert_eq!(say(second_admin, "HEALTH"), "ACK\n");
     second.terminate();
