Decide without I/O which nodes are here, gone or not known, and whose part is whose

Need: a node knows how many fellows its settings name and nothing else. Change: crates/siblings, without I/O, clock or thread: each node is watched by four on a ring that all compute alike; a quorum of those confirms it for a lease, and any quorum that ends a lease has one in common with any that confirms it and never confirms that incarnation again. Pieces of a gone one's part go to the two beside it, and come back before it uses them. The datagrams (crates/codec) hold rows, briefs, wants and digests in 256 bytes.

--- a/crates/codec/src/lib.rs
+++ b/crates/codec/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod memcache;
 pub mod resp;
+pub mod siblings;
--- /dev/null
+++ b/crates/codec/src/siblings.rs
@@ -0,0 +1,433 @@
+//! The datagrams of nodes that are siblings: 256 bytes at most, any of them lost, late, doubled, cut or of another build.
+//!
+//! A datagram is a header of 16 bytes, all big-endian, and parts:
+//!
+//! ```text
+//! "LS" | version u8 | flags u8 | site u32 | epoch u32 | checksum u32 | part...
+//! part: kind u8 | length u8 | body
+//! row (kind 1): origin u16 | incarnation u48 | beat u32 | beats u4, standing u4 | ways u8 | heard...
+//! heard: incarnation's low bits u32 | beat's low bits u16
+//! wants (kind 2): node u16...
+//! buckets (kind 4): u16, 32 times
+//! briefs (kind 3): (origin u16 | incarnation u48 | beat u32 | standing u8)...
+//! ```
+//!
+//! Rules for builds that come later: the header stays, a new thing is a new kind of part or stands behind what a row has
+//! here. Kinds that are not known and bytes that stand behind a row are passed over. The checksum (XXH3, its low half)
+//! covers all that stands round it. It finds what was cut or garbled; it is no proof of who has sent it.
+
+use bytes::{Buf, BufMut};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Longest datagram that the platform takes, in bytes.
+pub const LONGEST: usize = 256;
+/// Most nodes that watch one.
+pub const WATCHERS: usize = 4;
+/// The form's version. A later one can be read as far as it has the same words.
+const VERSION: u8 = 1;
+const MAGIC: &[u8] = b"LS";
+const HEADER: usize = 16;
+const SUM_AT: usize = 12;
+const ROW: u8 = 1;
+const WANTS: u8 = 2;
+const BRIEFS: u8 = 3;
+const DIGESTS: u8 = 4;
+/// The nodes are summed up in so many buckets, by their places in the list.
+pub const BUCKETS: usize = 32;
+/// A brief's bytes.
+const BRIEF: usize = 13;
+/// Most nodes that a datagram asks for.
+pub const MOST_WANTED: usize = 8;
+/// A row's bytes before its list of beats, and of each beat.
+const ROW_HEAD: usize = 14;
+const HEARD: usize = 6;
+/// Bytes of a part before its body.
+const PART_HEAD: usize = 2;
+/// An incarnation has so many bits.
+pub const INCARNATION_BITS: u32 = 48;
+
+/// What a node last heard of one that it watches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Heard {
+    /// The low bits of its incarnation; nothing was heard if both figures are 0.
+    pub incarnation: u32,
+    /// The low bits of its newest beat.
+    pub beat: u16,
+    /// Whether its own datagrams come.
+    pub direct: bool,
+    /// Whether its lease has run out here: this incarnation is not confirmed by this watcher any more.
+    pub expired: bool,
+}
+
+/// How a node stands, by its own word.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Standing {
+    /// Enough of its watchers confirm it.
+    pub confirmed: bool,
+    /// It leaves, and uses nothing shared from here on.
+    pub leaving: bool,
+    /// It lacks word of one that it watches, or theirs of it: its row is to be passed on soon.
+    pub calling: bool,
+    /// It was paused a moment ago.
+    pub paused: bool,
+}
+
+impl Standing {
+    fn bits(self) -> u8 {
+        let Standing { confirmed, leaving, calling, paused } = self;
+        bits([confirmed, leaving, calling, paused])
+    }
+
+    fn of(bits: u8) -> Standing {
+        Standing {
+            confirmed: bit(bits, 0),
+            leaving: bit(bits, 1),
+            calling: bit(bits, 2),
+            paused: bit(bits, 3),
+        }
+    }
+}
+
+/// One node's word of itself and of those that it watches. Of two, the one with the higher incarnation, then beat, is newer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Row {
+    /// Its place in the list of nodes.
+    pub origin: u16,
+    /// Higher with each start, and whenever it was held to be gone. 48 bits.
+    pub incarnation: u64,
+    /// Higher with each row.
+    pub beat: u32,
+    /// How it stands.
+    pub standing: Standing,
+    /// How many it watches.
+    pub watches: u8,
+    /// What it has heard of those, in the order of the ring.
+    pub heard: [Heard; WATCHERS],
+}
+
+impl Row {
+    /// What is newer than what.
+    pub fn age(&self) -> (u64, u32) {
+        (self.incarnation, self.beat)
+    }
+
+    /// Whether all ways to it are open, as it says, and it needs nothing: then a brief says it all.
+    pub fn is_plain(&self) -> bool {
+        let watched = &self.heard[..usize::from(self.watches).min(WATCHERS)];
+        !self.standing.calling && watched.iter().all(|heard| heard.direct && !heard.expired)
+    }
+
+    /// What a brief says: nothing of beats, and that all ways are open.
+    pub fn of_brief(self) -> Row {
+        let heard = Heard { direct: true, ..Heard::default() };
+        Row { heard: [heard; WATCHERS], ..self }
+    }
+
+    /// Bytes that it takes in a datagram.
+    pub fn length(&self) -> usize {
+        PART_HEAD + ROW_HEAD + HEARD * usize::from(self.watches)
+    }
+
+    fn put(&self, out: &mut Vec<u8>) {
+        let watches = usize::from(self.watches).min(WATCHERS);
+        out.put_u8(ROW);
+        out.put_u8((ROW_HEAD + HEARD * watches) as u8);
+        out.put_u16(self.origin);
+        out.put_uint(self.incarnation, 6);
+        out.put_u32(self.beat);
+        out.put_u8(self.standing.bits() | (watches as u8) << 4);
+        out.put_u8(
+            bits(self.heard.map(|heard| heard.direct)) | bits(self.heard.map(|heard| heard.expired)) << 4,
+        );
+        for heard in &self.heard[..watches] {
+            out.put_u32(heard.incarnation);
+            out.put_u16(heard.beat);
+        }
+    }
+
+    fn read(mut body: &[u8]) -> Option<Row> {
+        if body.len() < ROW_HEAD {
+            return None;
+        }
+        let (origin, incarnation, beat) = (body.get_u16(), body.get_uint(6), body.get_u32());
+        let (standing, ways) = (body.get_u8(), body.get_u8());
+        let mut row = Row { origin, incarnation, beat, standing: Standing::of(standing), ..Row::default() };
+        let watches = usize::from(standing >> 4).min(WATCHERS).min(body.len() / HEARD);
+        row.watches = watches as u8;
+        for (at, heard) in row.heard[..watches].iter_mut().enumerate() {
+            *heard = Heard {
+                incarnation: body.get_u32(),
+                beat: body.get_u16(),
+                direct: bit(ways, at),
+                expired: bit(ways, at + 4),
+            };
+        }
+        Some(row)
+    }
+}
+
+fn bit(of: u8, at: usize) -> bool {
+    of & 1 << at != 0
+}
+
+fn bits(of: [bool; WATCHERS]) -> u8 {
+    of.into_iter().enumerate().map(|(at, set)| u8::from(set) << at).sum()
+}
+
+/// What a datagram says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Said {
+    /// The sender's view, as a number that those who agree share.
+    pub epoch: u32,
+    /// The sender's own row, then what it passes on.
+    pub rows: Vec<Row>,
+    /// Rows of which this is enough: see [`Row::is_plain`].
+    pub briefs: Vec<Row>,
+    /// Nodes whose rows the sender lacks.
+    pub wants: Vec<u16>,
+    /// The sender's view by bucket: who has another sum knows something else of a node in it.
+    pub digests: Option<[u16; BUCKETS]>,
+}
+
+impl Said {
+    /// How many bytes its datagram has.
+    pub fn length(&self) -> usize {
+        let part = |body: usize| if body > 0 { PART_HEAD + body } else { 0 };
+        let rows: usize = self.rows.iter().map(Row::length).sum();
+        let digests = self.digests.map_or(0, |digests| 2 * digests.len());
+        HEADER
+            + rows
+            + part(digests)
+            + part(2 * self.wants.len().min(MOST_WANTED))
+            + part(BRIEF * self.briefs.len())
+    }
+
+    /// Adds a row, short where that says all, if the datagram is no longer than `most` then. Tells whether it was.
+    pub fn add(&mut self, row: Row, most: usize) -> bool {
+        let list = if row.is_plain() { &mut self.briefs } else { &mut self.rows };
+        list.push(row);
+        let fits = self.length() <= most.min(LONGEST);
+        if !fits {
+            let list = if row.is_plain() { &mut self.briefs } else { &mut self.rows };
+            list.pop();
+        }
+        fits
+    }
+
+    /// Whether it has a row of this node.
+    pub fn has(&self, origin: u16) -> bool {
+        self.rows.iter().chain(&self.briefs).any(|row| row.origin == origin)
+    }
+}
+
+/// Why a datagram says nothing here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unread {
+    /// It is no such datagram, or too long for one.
+    Form,
+    /// It was cut or garbled on its way.
+    Sum,
+    /// It is of nodes with another site or another list.
+    Site,
+}
+
+/// Writes a datagram; what doesn't fit is left out. Never longer than [`LONGEST`].
+pub fn put(site: u32, said: &Said) -> Vec<u8> {
+    let mut out = Vec::with_capacity(LONGEST);
+    out.put_slice(MAGIC);
+    out.put_u8(VERSION);
+    out.put_u8(0);
+    out.put_u32(site);
+    out.put_u32(said.epoch);
+    out.put_u32(0);
+    let wants = &said.wants[..said.wants.len().min(MOST_WANTED)];
+    if !wants.is_empty() {
+        out.put_u8(WANTS);
+        out.put_u8(2 * wants.len() as u8);
+        wants.iter().for_each(|&node| out.put_u16(node));
+    }
+    if let Some(digests) = &said.digests {
+        out.put_u8(DIGESTS);
+        out.put_u8(2 * BUCKETS as u8);
+        digests.iter().for_each(|&digest| out.put_u16(digest));
+    }
+    for row in &said.rows {
+        if out.len() + row.length() <= LONGEST {
+            row.put(&mut out);
+        }
+    }
+    let room = LONGEST.saturating_sub(out.len() + PART_HEAD) / BRIEF;
+    let briefs = &said.briefs[..said.briefs.len().min(room)];
+    if !briefs.is_empty() {
+        out.put_u8(BRIEFS);
+        out.put_u8((BRIEF * briefs.len()) as u8);
+        for brief in briefs {
+            out.put_u16(brief.origin);
+            out.put_uint(brief.incarnation, 6);
+            out.put_u32(brief.beat);
+            out.put_u8(brief.standing.bits());
+        }
+    }
+    let sum = sum(&out);
+    out[SUM_AT..HEADER].copy_from_slice(&sum.to_be_bytes());
+    out
+}
+
+/// Reads a datagram of nodes with this site.
+///
+/// # Errors
+/// If it is none, or another's.
+pub fn read(site: u32, datagram: &[u8]) -> Result<Said, Unread> {
+    if datagram.len() > LONGEST || datagram.len() < HEADER || !datagram.starts_with(MAGIC) {
+        return Err(Unread::Form);
+    }
+    let mut header = &datagram[MAGIC.len()..HEADER];
+    let (version, _flags) = (header.get_u8(), header.get_u8());
+    let (of, epoch, told) = (header.get_u32(), header.get_u32(), header.get_u32());
+    if version == 0 {
+        return Err(Unread::Form);
+    }
+    if sum(datagram) != told {
+        return Err(Unread::Sum);
+    }
+    if of != site {
+        return Err(Unread::Site);
+    }
+    let (mut rest, mut said) = (&datagram[HEADER..], Said { epoch, ..Said::default() });
+    while rest.len() >= PART_HEAD {
+        let (kind, length) = (rest.get_u8(), usize::from(rest.get_u8()));
+        let mut body = rest.get(..length).ok_or(Unread::Form)?;
+        rest.advance(length);
+        match kind {
+            ROW => said.rows.push(Row::read(body).ok_or(Unread::Form)?),
+            WANTS => {
+                while body.len() >= 2 && said.wants.len() < MOST_WANTED {
+                    said.wants.push(body.get_u16());
+                }
+            }
+            DIGESTS if body.len() >= 2 * BUCKETS => {
+                said.digests = Some(std::array::from_fn(|_| body.get_u16()));
+            }
+            BRIEFS => {
+                while body.len() >= BRIEF {
+                    let (origin, incarnation, beat) = (body.get_u16(), body.get_uint(6), body.get_u32());
+                    let standing = Standing::of(body.get_u8());
+                    said.briefs
+                        .push(Row { origin, incarnation, beat, standing, ..Row::default() }.of_brief());
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(said)
+}
+
+/// The checksum of all but itself.
+fn sum(datagram: &[u8]) -> u32 {
+    let mut hash = Xxh3::new();
+    hash.update(&datagram[..SUM_AT]);
+    hash.update(&datagram[HEADER..]);
+    hash.digest() as u32
+}
+
+/// The number of a site: its name, and its list of nodes as far as all write it alike.
+pub fn site(name: &str, nodes: usize) -> u32 {
+    let mut hash = Xxh3::new();
+    hash.update(name.as_bytes());
+    hash.update(&(nodes as u64).to_be_bytes());
+    hash.digest() as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(rng: &mut fastrand::Rng) -> Row {
+        let watches = rng.u8(0..=WATCHERS as u8);
+        let mut row = Row {
+            origin: rng.u16(..),
+            incarnation: rng.u64(..1 << INCARNATION_BITS),
+            beat: rng.u32(..),
+            watches,
+            ..Row::default()
+        };
+        row.standing = Standing::of(rng.u8(..));
+        for heard in &mut row.heard[..usize::from(watches)] {
+            let (incarnation, beat) = (rng.u32(..), rng.u16(..));
+            *heard = Heard { incarnation, beat, direct: rng.u8(..9) > 0, expired: rng.u8(..9) == 0 };
+        }
+        row
+    }
+
+    #[test]
+    fn what_is_put_is_read_and_what_is_garbled_or_cut_is_not() {
+        let mut rng = fastrand::Rng::with_seed(47);
+        for _ in 0..3_000 {
+            let rows: Vec<Row> = (0..rng.usize(1..=9)).map(|_| row(&mut rng)).collect();
+            let epoch = rng.u32(..);
+            let wants: Vec<u16> = (0..rng.usize(0..=MOST_WANTED)).map(|_| rng.u16(..)).collect();
+            let digests = rng.bool().then(|| std::array::from_fn(|_| rng.u16(..)));
+            let mut told = Said { epoch, rows: vec![rows[0]], wants, digests, ..Said::default() };
+            rows[1..].iter().for_each(|row| _ = told.add(*row, LONGEST));
+            let text = put(7, &told);
+            assert_eq!(text.len(), told.length());
+            let said = read(7, &text).unwrap();
+            assert_eq!((said.epoch, &said.rows, &said.wants), (epoch, &told.rows, &told.wants));
+            assert_eq!(said.digests, digests);
+            let brief = |row: &Row| (row.age(), row.origin, row.standing);
+            assert!(said.briefs.iter().map(brief).eq(told.briefs.iter().map(brief)));
+            assert!(said.briefs.iter().all(Row::is_plain));
+            let all = Said { epoch, rows: rows.clone(), briefs: rows, ..Said::default() };
+            assert!(put(7, &all).len() <= LONGEST);
+            assert_eq!(read(8, &text), Err(Unread::Site));
+            assert!(read(7, &text[..rng.usize(..text.len())]).is_err(), "cut");
+            let mut garbled = text.clone();
+            garbled[rng.usize(..text.len())] ^= 1 << rng.u8(..8);
+            assert!(read(7, &garbled).is_err());
+            let noise: Vec<u8> = (0..rng.usize(..300)).map(|_| rng.u8(..)).collect();
+            assert!(read(7, &noise).is_err());
+        }
+    }
+
+    /// A corpus: what builds before and after this one send.
+    #[test]
+    fn a_newer_build_is_read_as_far_as_it_has_the_same_words() {
+        let mut rng = fastrand::Rng::with_seed(48);
+        let (known, sealed) = (row(&mut rng), |mut text: Vec<u8>| {
+            let sum = sum(&text);
+            text[SUM_AT..HEADER].copy_from_slice(&sum.to_be_bytes());
+            text
+        });
+        let text = put(7, &Said { epoch: 3, rows: vec![known], wants: vec![5], ..Said::default() });
+        let mut newer = text.clone();
+        newer[2] = 9; // a later version
+        newer.extend_from_slice(&[200, 5, 1, 2, 3, 4, 5]); // a part of a kind not known here
+        assert_eq!(
+            read(7, &sealed(newer)),
+            Ok(Said { epoch: 3, rows: vec![known], wants: vec![5], ..Said::default() })
+        );
+        let mut longer = text.clone();
+        longer[HEADER + 5] += 7; // a row with something behind it
+        longer.extend_from_slice(&[9; 7]);
+        assert_eq!(read(7, &sealed(longer)).map(|said| said.rows), Ok(vec![known]));
+        let mut none = text.clone();
+        none[2] = 0;
+        assert_eq!(read(7, &sealed(none)), Err(Unread::Form));
+        let mut overrun = text.clone();
+        overrun[HEADER + 5] = 250; // a part longer than what came
+        assert_eq!(read(7, &sealed(overrun)), Err(Unread::Form));
+        let mut short = text;
+        short.truncate(HEADER);
+        short.extend_from_slice(&[ROW, 3, 1, 2, 3]);
+        assert_eq!(read(7, &sealed(short)), Err(Unread::Form));
+    }
+
+    #[test]
+    fn six_rows_of_four_beats_fill_the_longest_datagram() {
+        let row = Row { watches: WATCHERS as u8, ..Row::default() };
+        let mut said = Said { rows: vec![row; 6], ..Said::default() };
+        assert_eq!(said.length(), LONGEST);
+        said.rows.push(row);
+        assert_eq!(put(1, &said).len(), LONGEST);
+    }
+}
--- /dev/null
+++ b/crates/siblings/tests/virtual_time.rs
@@ -0,0 +1,331 @@
+//! Siblings in virtual time: who is known to be what, within which bounds, through whatever happens on the ways.
+
+mod world;
+
+use lilacquay_siblings::{Change, State, Terms, WHOLE, Why};
+use world::{Link, MS, S, World};
+
+/// A death is known to all of so many within this, and a start.
+const KNOWN: u64 = 10 * S;
+
+fn settled(nodes: usize, seed: u64) -> World {
+    let mut world = World::new(nodes, seed);
+    world.checks = nodes <= 30;
+    world.start_all(S);
+    world.until(30 * S, World::whole);
+    let settle = 2 * Terms::default().outlasts();
+    world.run(settle);
+    world
+}
+
+#[test]
+fn all_are_here_and_use_their_whole_parts_soon_after_their_start() {
+    for (nodes, seed) in [(1, 1), (2, 2), (3, 3), (4, 4), (5, 5), (6, 6), (30, 7), (300, 8)] {
+        let world = settled(nodes, seed);
+        assert!((0..nodes).all(|node| world.part(node) == WHOLE), "{nodes}");
+        assert!((0..nodes).all(|node| world.siblings(node).numbers() == [nodes - 1, 0, 0]));
+    }
+}
+
+/// The death of one is known, its part is taken by the two beside it, and it gets that back.
+#[test]
+fn a_dead_one_is_gone_to_all_its_part_is_taken_and_given_back() {
+    for (nodes, seed) in [(3, 1), (5, 2), (6, 3), (30, 4), (300, 5)] {
+        let mut world = settled(nodes, seed);
+        let dead = seed as usize % nodes;
+        world.kill(dead);
+        let known = |w: &World| (0..nodes).all(|at| at == dead || w.state(dead, at) == State::Gone);
+        world.until(KNOWN, known);
+        world.until(KNOWN, |w| (0..nodes).map(|node| w.part(node)).sum::<u32>() == nodes as u32 * WHOLE);
+        let now = world.now;
+        world.start_at(dead, now);
+        world.until(5 * S, |w| w.runs(dead) && w.part(dead) == WHOLE);
+        world.until(KNOWN, World::whole);
+    }
+}
+
+#[test]
+fn loss_spread_and_doubling_alone_make_nobody_gone() {
+    for (nodes, loss, seed) in [(3, 100, 1), (5, 200, 2), (30, 200, 3), (30, 100, 4)] {
+        let mut world = World::new(nodes, seed);
+        world.usual = Link { loss, double: 50, delay: (MS, 200 * MS), cut: false };
+        world.start_all(S);
+        world.until(30 * S, World::whole);
+        world.changes.clear();
+        for _ in 0..6 {
+            world.run(20 * S);
+            let node = world.rng.usize(0..nodes);
+            world.pause(node); // a second of each minute or less
+            world.run(S);
+            world.resume(node);
+        }
+        let gone = |(_, _, change): &&(u64, usize, Change)| {
+            matches!(change, Change::State { is: State::Gone, why: Why::Expired { .. }, .. })
+        };
+        assert_eq!(world.changes.iter().find(gone), None, "{nodes} at {loss}");
+    }
+}
+
+#[test]
+fn a_pause_within_the_bound_changes_nothing_and_a_longer_one_heals() {
+    for pause in [100 * MS, S, Terms::default().unnoticed()] {
+        let mut world = settled(5, pause);
+        world.changes.clear();
+        world.pause(2);
+        world.run(pause);
+        world.resume(2);
+        world.run(10 * S);
+        let told = |(_, _, change): &&(u64, usize, Change)| matches!(change, Change::State { .. });
+        assert_eq!(world.changes.iter().find(told), None, "a pause of {pause}");
+    }
+    for pause in [3 * S, 10 * S] {
+        let mut world = settled(5, pause);
+        world.changes.clear();
+        world.pause(2);
+        world.run(pause);
+        world.resume(2);
+        let accused = world.changes.len();
+        world.until(5 * S, World::whole);
+        // Whoever wakes up accuses nobody: it says nothing of the others but that they are here.
+        let accuses = |(_, at, change): &&(u64, usize, Change)| {
+            *at == 2 && matches!(change, Change::State { is: State::Gone, why: Why::Expired { .. }, .. })
+        };
+        assert_eq!(world.changes[accused..].iter().find(accuses), None);
+    }
+}
+
+#[test]
+fn all_paused_at_once_and_late_all_the_time_accuse_nobody() {
+    let mut world = settled(6, 1);
+    world.changes.clear();
+    for _ in 0..5 {
+        (0..6).for_each(|node| world.pause(node));
+        world.run(10 * S);
+        (0..6).for_each(|node| world.resume(node));
+        world.until(5 * S, World::whole);
+    }
+    for _ in 0..40 {
+        (0..6).for_each(|node| world.pause(node));
+        world.run(400 * MS);
+        (0..6).for_each(|node| world.resume(node));
+        world.run(300 * MS);
+    }
+    let gone = |(_, _, change): &&(u64, usize, Change)| {
+        matches!(change, Change::State { is: State::Gone, why: Why::Expired { .. }, .. })
+    };
+    assert_eq!(world.changes.iter().find(gone), None);
+}
+
+#[test]
+fn a_one_sided_cut_shows_as_one_and_ends_no_lease() {
+    for nodes in [3, 5, 30] {
+        let mut world = settled(nodes, 9);
+        let (a, b) = (0, world.siblings(0).fellows(0).iter().find(|f| f.we_hear.is_some()).unwrap().node);
+        world.changes.clear();
+        world.cut(a, b, true); // b doesn't hear a
+        world.run(60 * S);
+        let ways = world.siblings(b).ways(world.clock(b));
+        let open = |from, to| ways.iter().find(|way| (way.from, way.to) == (from, to)).unwrap().open;
+        assert!(!open(a, b) && open(b, a), "{nodes}: {ways:?}");
+        let gone = |(_, _, change): &&(u64, usize, Change)| {
+            matches!(change, Change::State { is: State::Gone, .. } | Change::Confirmed(false))
+        };
+        assert_eq!(world.changes.iter().find(gone), None, "{nodes}");
+    }
+}
+
+/// Each hears the one before it alone.
+#[test]
+fn in_a_ring_of_one_sided_ways_all_stay_here() {
+    let mut world = settled(5, 3);
+    world.changes.clear();
+    for from in 0..5 {
+        (0..5).filter(|&to| to != from && to != (from + 1) % 5).for_each(|to| world.cut(from, to, true));
+    }
+    world.run(60 * S);
+    let gone =
+        |(_, _, change): &&(u64, usize, Change)| matches!(change, Change::State { is: State::Gone, .. });
+    assert_eq!(world.changes.iter().find(gone), None);
+}
+
+#[test]
+fn one_that_is_cut_from_all_but_one_can_be_heard_by_a_way_round() {
+    for nodes in [5, 30, 100] {
+        let mut world = settled(nodes, 4);
+        world.changes.clear();
+        let (cut, friend) = (1, (1 + nodes / 2) % nodes);
+        for other in (0..nodes).filter(|&other| other != cut && other != friend) {
+            world.cut(cut, other, true);
+            world.cut(other, cut, true);
+        }
+        world.run(60 * S);
+        let gone = |(_, _, change): &&(u64, usize, Change)| {
+            matches!(change, Change::State { is: State::Gone, why: Why::Expired { .. }, .. })
+        };
+        assert_eq!(world.changes.iter().find(gone), None, "{nodes}");
+    }
+}
+
+#[test]
+fn half_and_half_for_a_minute_never_use_more_than_the_whole_and_heal() {
+    for (nodes, seed) in [(5, 1), (6, 2), (30, 3), (100, 4)] {
+        let mut world = settled(nodes, seed);
+        world.split(|node| node < nodes / 2, true);
+        world.run(60 * S);
+        for at in 0..nodes {
+            let own = (0..nodes).filter(|&of| of != at && (of < nodes / 2) == (at < nodes / 2));
+            let gone: Vec<usize> = own.filter(|&of| world.state(of, at) == State::Gone).collect();
+            assert!(gone.is_empty(), "{at} holds {gone:?} to be gone, whom it can hear");
+        }
+        world.split(|node| node < nodes / 2, false);
+        world.until(5 * S, World::whole);
+    }
+}
+
+#[test]
+fn eighty_of_a_hundred_are_killed_and_back_under_their_names() {
+    let mut world = settled(100, 5);
+    world.checks = false;
+    for node in 0..80 {
+        let at = world.now + world.rng.u64(0..S);
+        let back = 300 * MS;
+        world.run(at.saturating_sub(world.now).min(S / 80));
+        world.kill(node);
+        let again = world.now + back;
+        world.start_at(node, again);
+        world.check();
+    }
+    world.until(KNOWN, World::whole);
+    world.until(KNOWN, |w| (0..100).all(|node| w.part(node) == WHOLE));
+    world.check();
+}
+
+#[test]
+fn one_that_flaps_twice_a_second_troubles_nobody_else() {
+    let mut world = settled(6, 6);
+    world.changes.clear();
+    for _ in 0..40 {
+        world.kill(0);
+        world.run(150 * MS);
+        let now = world.now;
+        world.start_at(0, now);
+        world.run(350 * MS);
+    }
+    let others = |(_, _, change): &&(u64, usize, Change)| matches!(change, Change::State { node, is: State::Gone, .. } if *node != 0);
+    assert_eq!(world.changes.iter().find(others), None);
+    world.until(5 * S, World::whole);
+}
+
+/// A name in the list under which nothing ever ran.
+#[test]
+fn one_that_never_was_is_not_known_and_the_others_are_here() {
+    let mut world = World::new(5, 7);
+    (0..4).for_each(|node| world.start_at(node, S));
+    world.run(S);
+    world.until(10 * S, World::whole);
+    world.run(30 * S);
+    assert!((0..4).all(|at| world.state(4, at) == State::Unknown));
+    assert!((0..4).all(|node| world.part(node) == WHOLE), "nobody takes the part of one that is not known");
+}
+
+/// Clocks that are 5 s apart, and one that goes back over a restart that nobody noticed.
+#[test]
+fn one_that_comes_back_with_its_clock_put_back_is_newer_than_it_was() {
+    let mut world = World::new(5, 8);
+    (0..5).for_each(|node| world.nodes[node].wall_off = node as i64 * 5_000_000 - 10_000_000);
+    world.start_all(S);
+    world.until(10 * S, World::whole);
+    let before = world.siblings(3).incarnation();
+    world.kill(3);
+    world.nodes[3].wall_off -= 20_000_000;
+    let now = world.now;
+    world.start_at(3, now);
+    world.until(5 * S, |w| w.runs(3) && w.siblings(3).incarnation() > before && w.whole());
+}
+
+/// At rest the bytes a node sends don't grow with the number of nodes; in a storm there is a bound.
+#[test]
+fn bytes_are_bounded_whatever_the_number_and_the_storm() {
+    for nodes in [30, 300] {
+        let mut world = World::new(nodes, 9);
+        world.checks = false;
+        world.start_all(S);
+        world.run(25 * S);
+        let sent = |world: &World| world.nodes.iter().map(|node| node.sent_bytes).sum::<u64>();
+        let before = sent(&world);
+        world.run(10 * S);
+        let rest = (sent(&world) - before) / 10 / nodes as u64;
+        assert!(rest <= 2_048, "{nodes}: {rest} bytes a second at rest");
+        world.split(|node| node % 2 == 0, true);
+        world.run(5 * S);
+        world.split(|node| node % 2 == 0, false);
+        let before = sent(&world);
+        world.run(5 * S);
+        let storm = (sent(&world) - before) / 5 / nodes as u64;
+        assert!(storm <= 6_400, "{nodes}: {storm} bytes a second in a storm");
+    }
+}
+
+/// Datagrams of another site, garbled, cut, led astray or sent again change nothing.
+#[test]
+fn strays_change_nothing() {
+    let world = settled(3, 10);
+    let (now, wall) = (world.clock(0), 1_700_000_100 * S);
+    let mut other = world.siblings(1).clone();
+    let good = other.tick(now, wall).into_iter().find(|out| out.to == 0).unwrap().datagram;
+    let mut node = world.siblings(0).clone();
+    node.heard(now, wall, 1, &good);
+    let before = (node.fellows(now), node.epoch(), node.part(now));
+    let mut cases: Vec<(usize, Vec<u8>)> =
+        vec![(2, good.clone()), (0, good.clone()), (1, good[..40].to_vec())];
+    let mut stranger = good.clone();
+    stranger[4] ^= 1;
+    cases.extend([(1, stranger), (1, good)]);
+    for (from, datagram) in cases {
+        node.heard(now, wall, from, &datagram);
+        assert_eq!((node.fellows(now), node.epoch(), node.part(now)), before);
+    }
+    assert!(node.counts().unread >= 4);
+}
+
+/// Whatever happens, in any order: the sum of the parts, and nobody gone who uses its own. In the end all heal.
+#[test]
+fn whatever_happens_the_parts_hold_and_all_heal() {
+    for seed in 0..60 {
+        let nodes = [3, 4, 5, 7][seed as usize % 4];
+        let mut world = World::new(nodes, seed);
+        world.usual.loss = world.rng.u32(0..250);
+        world.usual.delay.1 = world.rng.u64(2 * MS..800 * MS);
+        world.usual.double = 100;
+        world.start_all(2 * S);
+        for _ in 0..60 {
+            let (a, b) = (world.rng.usize(0..nodes), world.rng.usize(0..nodes));
+            match world.rng.u8(0..10) {
+                0 => world.kill(a),
+                1 | 2 if !world.runs(a) => {
+                    let now = world.now;
+                    world.start_at(a, now);
+                }
+                3 => world.pause(a),
+                4 | 5 => world.resume(a),
+                6 | 7 if a != b => world.cut(a, b, true),
+                8 if a != b => world.cut(a, b, false),
+                9 => world.nodes[a].wall_off = world.rng.i64(-5_000_000..5_000_000),
+                _ => {}
+            }
+            let wait = world.rng.u64(10 * MS..2 * S);
+            world.run(wait);
+        }
+        world.usual = Link::default();
+        for a in 0..nodes {
+            world.resume(a);
+            (0..nodes).filter(|&b| b != a).for_each(|b| *world.link(a, b) = Link::default());
+            if !world.runs(a) {
+                let now = world.now;
+                world.start_at(a, now);
+            }
+        }
+        world.run(MS);
+        world.until(30 * S, World::whole);
+    }
+}
--- /dev/null
+++ b/crates/siblings/tests/world/mod.rs
@@ -0,0 +1,298 @@
+//! Many nodes in virtual time: ways that lose, delay, double and end, processes that pause, die and start again.
+
+use std::collections::BTreeMap;
+
+use lilacquay_siblings::{Change, Micros, Setup, Siblings, State, Terms, WHOLE};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+/// Unix time at the start, in microseconds.
+const WALL: Micros = 1_700_000_000 * S;
+
+/// One way, from one node to another.
+#[derive(Clone, Copy)]
+pub struct Link {
+    /// Datagrams lost, in a thousand.
+    pub loss: u32,
+    /// Datagrams that come twice, in a thousand.
+    pub double: u32,
+    /// Shortest and longest time on the way.
+    pub delay: (Micros, Micros),
+    pub cut: bool,
+}
+
+impl Default for Link {
+    fn default() -> Self {
+        Link { loss: 0, double: 0, delay: (MS, 5 * MS), cut: false }
+    }
+}
+
+enum Happens {
+    Tick { node: usize, life: u32 },
+    Comes { from: usize, to: usize, datagram: Vec<u8> },
+}
+
+pub struct Node {
+    pub siblings: Option<Siblings>,
+    /// How often it was started.
+    life: u32,
+    /// Its steady clock runs so many thousandths too quick or too slow.
+    drift: i64,
+    /// Its wall clock is off by so much, in microseconds.
+    pub wall_off: i64,
+    /// Stopped: what comes waits in its socket.
+    paused: Option<Vec<(usize, Vec<u8>)>>,
+    pub sent_bytes: u64,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub nodes: Vec<Node>,
+    pub rng: fastrand::Rng,
+    pub usual: Link,
+    links: BTreeMap<(usize, usize), Link>,
+    queue: BTreeMap<(Micros, u64), Happens>,
+    number: u64,
+    terms: Terms,
+    /// What each has told, and when.
+    pub changes: Vec<(Micros, usize, Change)>,
+    /// Looks after each step that the rules hold.
+    pub checks: bool,
+}
+
+impl World {
+    pub fn new(nodes: usize, seed: u64) -> World {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let node = |rng: &mut fastrand::Rng| Node {
+            siblings: None,
+            life: 0,
+            drift: rng.i64(-5..=5),
+            wall_off: 0,
+            paused: None,
+            sent_bytes: 0,
+        };
+        let nodes: Vec<Node> = (0..nodes).map(|_| node(&mut rng)).collect();
+        World {
+            now: S,
+            nodes,
+            rng,
+            usual: Link::default(),
+            links: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            number: 0,
+            terms: Terms::default(),
+            changes: Vec::new(),
+            checks: true,
+        }
+    }
+
+    /// All start within a time.
+    pub fn start_all(&mut self, within: Micros) {
+        for node in 0..self.nodes.len() {
+            let at = self.now + self.rng.u64(0..=within);
+            self.start_at(node, at);
+        }
+        self.run(within + MS);
+    }
+
+    /// A node's own steady clock.
+    pub fn clock(&self, node: usize) -> Micros {
+        (self.now as i64 + self.now as i64 * self.nodes[node].drift / 1_000) as Micros
+    }
+
+    fn wall(&self, node: usize) -> Micros {
+        ((WALL + self.now) as i64 + self.nodes[node].wall_off) as Micros
+    }
+
+    fn at(&mut self, at: Micros, what: Happens) {
+        self.number += 1;
+        self.queue.insert((at, self.number), what);
+    }
+
+    pub fn start_at(&mut self, node: usize, at: Micros) {
+        self.nodes[node].life += 1;
+        let life = self.nodes[node].life;
+        self.at(at, Happens::Tick { node, life });
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        (self.nodes[node].siblings, self.nodes[node].paused) = (None, None);
+        self.nodes[node].life += 1;
+    }
+
+    pub fn pause(&mut self, node: usize) {
+        self.nodes[node].paused.get_or_insert_default();
+    }
+
+    pub fn resume(&mut self, node: usize) {
+        let Some(waiting) = self.nodes[node].paused.take() else { return };
+        for (from, datagram) in waiting {
+            self.comes(from, node, &datagram);
+        }
+        let life = self.nodes[node].life;
+        let now = self.now;
+        self.at(now, Happens::Tick { node, life });
+    }
+
+    pub fn link(&mut self, from: usize, to: usize) -> &mut Link {
+        let usual = self.usual;
+        self.links.entry((from, to)).or_insert(usual)
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize, cut: bool) {
+        self.link(from, to).cut = cut;
+    }
+
+    /// All ways between two groups, both ways, are cut or whole.
+    pub fn split(&mut self, group: impl Fn(usize) -> bool, cut: bool) {
+        for from in 0..self.nodes.len() {
+            for to in 0..self.nodes.len() {
+                if group(from) != group(to) {
+                    self.cut(from, to, cut);
+                }
+            }
+        }
+    }
+
+    pub fn run(&mut self, time: Micros) {
+        let end = self.now + time;
+        while let Some((&(at, number), _)) = self.queue.first_key_value().filter(|((at, _), _)| *at <= end) {
+            let what = self.queue.remove(&(at, number)).expect("looked at above");
+            self.now = self.now.max(at);
+            match what {
+                Happens::Tick { node, life } => self.tick(node, life),
+                Happens::Comes { from, to, datagram } => self.comes(from, to, &datagram),
+            }
+            // Of few nodes after each step, of many after some.
+            if self.checks && (self.nodes.len() <= 7 || self.number.is_multiple_of(16)) {
+                self.check();
+            }
+        }
+        self.now = end;
+    }
+
+    fn tick(&mut self, node: usize, life: u32) {
+        if self.nodes[node].life != life || self.nodes[node].paused.is_some() {
+            return;
+        }
+        let (now, wall, nodes) = (self.clock(node), self.wall(node), self.nodes.len());
+        let seed = self.rng.u64(..);
+        let setup = Setup { me: node, nodes, site: 7, seed, terms: self.terms };
+        let siblings = self.nodes[node].siblings.get_or_insert_with(|| Siblings::new(setup, now, wall));
+        let (out, due) = (siblings.tick(now, wall), siblings.due());
+        let jitter = self.rng.u64(0..2 * MS);
+        let wait = due.saturating_sub(now) + jitter;
+        let at = self.now + wait;
+        self.at(at, Happens::Tick { node, life });
+        self.gather(node, out);
+    }
+
+    fn comes(&mut self, from: usize, to: usize, datagram: &[u8]) {
+        if let Some(waiting) = &mut self.nodes[to].paused {
+            if waiting.len() < 500 {
+                waiting.push((from, datagram.to_vec()));
+            }
+            return;
+        }
+        let (now, wall) = (self.clock(to), self.wall(to));
+        let Some(siblings) = &mut self.nodes[to].siblings else { return };
+        let out = siblings.heard(now, wall, from, datagram);
+        self.gather(to, out);
+    }
+
+    fn gather(&mut self, node: usize, out: Vec<lilacquay_siblings::Out>) {
+        for change in self.nodes[node].siblings.as_mut().map(Siblings::changes).unwrap_or_default() {
+            self.changes.push((self.now, node, change));
+        }
+        for out in out {
+            assert!(out.datagram.len() <= 256 && out.to != node);
+            self.nodes[node].sent_bytes += out.datagram.len() as u64;
+            let link = *self.links.get(&(node, out.to)).unwrap_or(&self.usual);
+            let times = 1 + u32::from(self.rng.u32(0..1000) < link.double);
+            for _ in 0..times {
+                if !link.cut && self.rng.u32(0..1000) >= link.loss {
+                    let at = self.now + self.rng.u64(link.delay.0..=link.delay.1);
+                    self.at(at, Happens::Comes { from: node, to: out.to, datagram: out.datagram.clone() });
+                }
+            }
+        }
+    }
+
+    pub fn siblings(&self, node: usize) -> &Siblings {
+        self.nodes[node].siblings.as_ref().expect("it runs")
+    }
+
+    pub fn runs(&self, node: usize) -> bool {
+        self.nodes[node].siblings.is_some()
+    }
+
+    pub fn state(&self, of: usize, at: usize) -> State {
+        self.siblings(at).state(self.clock(at), of).0
+    }
+
+    /// What a process may use, whether or not it is paused: it may wake up in the midst of a use.
+    pub fn part(&self, node: usize) -> u32 {
+        self.nodes[node]
+            .siblings
+            .as_ref()
+            .map_or(0, |siblings| siblings.part(self.clock(node)).at(self.clock(node)))
+    }
+
+    /// The rules that hold at each step.
+    pub fn check(&self) {
+        let parts: u64 = (0..self.nodes.len()).map(|node| u64::from(self.part(node))).sum();
+        let whole = u64::from(WHOLE) * self.nodes.len() as u64;
+        assert!(parts <= whole, "{} of {whole} at {}", parts, self.now);
+        for used in (0..self.nodes.len()).filter(|&node| self.nodes.len() > 2 && self.part(node) > 0) {
+            let incarnation = self.siblings(used).incarnation();
+            for node in (0..self.nodes.len()).filter(|&node| node != used && self.runs(node)) {
+                let told = self.siblings(node).known(used);
+                assert_ne!(told, Some((incarnation, true)), "{node} holds {used} to be gone at {}", self.now);
+            }
+        }
+    }
+
+    /// Whether all that run hold all that run to be here, and are of one mind.
+    pub fn whole(&self) -> bool {
+        let live: Vec<usize> = (0..self.nodes.len()).filter(|&node| self.runs(node)).collect();
+        let Some(&first) = live.first() else { return false };
+        let epoch = self.siblings(first).epoch();
+        live.iter().all(|&at| {
+            self.siblings(at).epoch() == epoch
+                && live.iter().all(|&of| of == at || self.state(of, at) == State::Here)
+        })
+    }
+
+    /// What all hold, for a test that fails.
+    fn told(&self) -> String {
+        let live = (0..self.nodes.len()).filter(|&node| self.runs(node));
+        live.map(|node| {
+            let (siblings, now) = (self.siblings(node), self.clock(node));
+            let fellows = siblings.fellows(now);
+            let odd = fellows.iter().filter(|fellow| fellow.state != State::Here);
+            let odd: Vec<String> =
+                odd.map(|f| format!("{} {} {:?}", f.node, f.state.word(), f.why)).take(3).collect();
+            format!("\n{node} epoch {:08x} part {} odd {odd:?}", siblings.epoch(), self.part(node))
+        })
+        .filter(|line| !line.ends_with("1000 odd []") || self.nodes.len() < 7)
+        .take(20)
+        .collect::<String>()
+            + &format!(
+                "{:?}",
+                (0..self.nodes.len())
+                    .filter(|&n| self.runs(n))
+                    .map(|n| self.siblings(n).epoch())
+                    .collect::<std::collections::BTreeSet<_>>()
+            )
+    }
+
+    /// Runs until something holds; tells after what time.
+    pub fn until(&mut self, most: Micros, holds: impl Fn(&World) -> bool) -> Micros {
+        let start = self.now;
+        while !holds(self) {
+            assert!(self.now < start + most, "not within {most} us: {}", self.told());
+            self.run(50 * MS);
+        }
+        self.now - start
+    }
+}
