--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,4 +13,4 @@
 pub use event_log::EventLog;
 pub use folder::Folder;
 pub use server::{Command, Control, Host, Outcome};
-pub use words::{Answer, Question, Server, Standing, Verb, Version};
+pub use words::{Answer, FellowNow, Question, Server, Sight, Standing, Verb, Version, WayNow};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -18,7 +18,7 @@
 use crate::event_log::EventLog;
 use crate::folder::Folder;
 use crate::publisher::Publisher;
-use crate::words::{Answer, LONGEST, Question, Server, Standing, VERSION, Verb};
+use crate::words::{Answer, LONGEST, Question, Server, Sight, Standing, VERSION, Verb};
 
 /// Who speaks at once; others wait until one is done.
 const MOST: usize = 48;
@@ -59,6 +59,8 @@
     pub commands: mpsc::Sender<Command>,
     /// Its configuration, without secrets, for diagnosis bundles.
     pub described: Value,
+    /// Who tells what it sees of the other nodes, where they speak to one another.
+    pub siblings: Option<Arc<mpsc::Sender<oneshot::Sender<Sight>>>>,
     /// Descriptors that it may hold.
     pub descriptor_limit: usize,
 }
@@ -239,6 +241,7 @@
                 Some(snapshot) => Answer::Snapshot { snapshot: Box::new(snapshot) },
                 None => ended(),
             },
+            Verb::Siblings => self.siblings().await,
             Verb::Events { after, .. } => Answer::Events { told: self.host.events.after(*after, usize::MAX) },
             Verb::Reload => self.command(verb, Command::Reload).await,
             Verb::Level { level } => {
@@ -258,6 +261,17 @@
         }
     }
 
+    async fn siblings(&self) -> Answer {
+        let Some(to) = &self.host.siblings else {
+            return Answer::Refused { why: "this node has no siblings; list them in [siblings]".into() };
+        };
+        let (answer, told) = oneshot::channel();
+        match to.send(answer).await.is_ok() {
+            true => told.await.map_or_else(|_| ended(), |sight| Answer::Siblings { sight: Box::new(sight) }),
+            false => ended(),
+        }
+    }
+
     /// Has the node carry out an order on itself.
     async fn command(&self, verb: Verb, command: impl FnOnce(oneshot::Sender<Outcome>) -> Command) -> Answer {
         let (answer, told) = oneshot::channel();
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -31,6 +31,8 @@
     Orders,
     /// The servers of the list and what is out at each.
     Servers,
+    /// The other nodes, as this one sees them.
+    Siblings,
     /// The node at this moment. From version 2, as all below that have no server.
     Look,
     /// The node again and again, at the asker's own pace, and its events. The connection takes no other question then.
@@ -106,6 +108,11 @@
         /// By name.
         servers: Vec<Server>,
     },
+    /// The other nodes.
+    Siblings {
+        /// As this one sees them.
+        sight: Box<Sight>,
+    },
     /// The node at a moment.
     Snapshot {
         /// What it told.
@@ -160,6 +167,94 @@
     pub number: u64,
 }
 
+/// The other nodes, as one sees them.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Sight {
+    /// The site's name.
+    pub site: String,
+    /// The node's own number, among so many.
+    pub me: usize,
+    /// How many nodes the list has.
+    pub nodes: usize,
+    /// The node's own incarnation.
+    pub incarnation: u64,
+    /// A number of its view: nodes that agree on who lives, in which incarnation, and who is gone, have the same.
+    pub epoch: String,
+    /// Whether enough of those that watch it confirm it.
+    pub confirmed: bool,
+    /// Whether another process has taken its name.
+    pub superseded: bool,
+    /// What it may use of its equal part of what all nodes share.
+    pub part: f64,
+    /// How much it doubts its own hearing, 0 to 8.
+    pub doubt: u64,
+    /// Pauses of its own that it noticed.
+    pub pauses: u64,
+    /// Others that are here.
+    pub here: usize,
+    /// Others that are gone.
+    pub gone: usize,
+    /// Others that are not known.
+    pub unknown: usize,
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams that were read.
+    pub read: u64,
+    /// Datagrams that could not be read.
+    pub unread: u64,
+    /// Datagrams of another site or list.
+    pub strangers: u64,
+    /// Datagrams from addresses that are no node's.
+    pub unlisted: u64,
+    /// The others, by number.
+    pub fellows: Vec<FellowNow>,
+    /// Who hears whom, among neighbours on the ring.
+    pub ways: Vec<WayNow>,
+}
+
+/// Another node.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct FellowNow {
+    /// Its number.
+    pub node: usize,
+    /// Where this node reaches it.
+    pub address: String,
+    /// `here`, `gone` or `unknown`.
+    pub state: String,
+    /// For how long, in seconds.
+    pub since_s: f64,
+    /// On what evidence.
+    pub why: String,
+    /// Its incarnation; 0 if none is known.
+    pub incarnation: u64,
+    /// How long ago its newest word came, in seconds.
+    pub heard_s: Option<f64>,
+    /// Through which node.
+    pub heard_by: Option<usize>,
+    /// Whether its own datagrams come, where this node watches it.
+    pub we_hear: Option<bool>,
+    /// Whether ours come to it, by its own word.
+    pub hears_us: Option<bool>,
+    /// It is watched here and has been silent for three periods.
+    pub suspected: bool,
+}
+
+/// A way from one node to another.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WayNow {
+    /// Whose datagrams.
+    pub from: usize,
+    /// To whom.
+    pub to: usize,
+    /// Whether they come.
+    pub open: bool,
+}
+
 /// A server of the list.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Server {
@@ -207,6 +302,7 @@
     pub fn order(&self) -> Option<Ask> {
         match self.clone() {
             Verb::Orders | Verb::Servers | Verb::Look | Verb::Watch { .. } | Verb::Events { .. } => None,
+            Verb::Siblings => None,
             Verb::Reload | Verb::Level { .. } | Verb::Stop | Verb::Leave | Verb::Join | Verb::Diagnose => {
                 None
             }
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -64,9 +64,15 @@
     /// small fleet does.
     pub fn new(keepalive: Duration, nodes: usize, tries: Tries) -> Self {
         let idle_limit = keepalive * 9 / 10;
-        let nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
         let (news, servers) = Default::default();
-        Directory { news, servers, tries, idle_limit, spare_limit: idle_limit / nodes }
+        let mut directory = Directory { news, servers, tries, idle_limit, spare_limit: idle_limit };
+        directory.set_nodes(nodes);
+        directory
+    }
+
+    /// It is one of so many nodes from now on.
+    pub fn set_nodes(&mut self, nodes: usize) {
+        self.spare_limit = self.idle_limit / u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
     }
 
     /// Takes over a list; tells the module's view of its entries. Servers of which kinds of machine discard the
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -33,7 +33,7 @@
 use crate::governor::Governor;
 use crate::list::List;
 use crate::members::Members;
-use crate::message::{Arrival, Heritage, Message, Orders};
+use crate::message::{Arrival, Fellows, Heritage, Message, Orders};
 use crate::portion::Portion;
 use crate::requests::Requests;
 use crate::steering::{ServerNow, Steering};
@@ -157,6 +157,8 @@
     quotas: Option<Admission>,
     steering: Option<Steering>,
     watched: Watched,
+    /// Who is there, where nodes speak to one another.
+    siblings: Option<Fellows>,
     book: Book,
     /// The version of the list, where its source has one.
     version: Option<u64>,
@@ -205,6 +207,7 @@
             quotas: options.quotas,
             steering: options.steered.map(|kept| Steering::new(clock.now(), kept)),
             watched,
+            siblings: None,
             clock,
             upstream,
             open: HashMap::new(),
@@ -272,6 +275,7 @@
             }
             Message::HandOver(answer) => drop(answer.send(self.heritage())), // who asked may have left
             Message::Watch(more) => self.watched.watch(more),
+            Message::Fellows(fellows) => self.fellows(fellows),
             Message::Look(answer) => drop(answer.send(self.look())), // who asked may have left
             Message::Quotas(new) => {
                 if let Some(quotas) = &mut self.quotas {
@@ -302,6 +306,16 @@
         }
     }
 
+    /// Goes by who is there: what may be used, and for how many others there must be room.
+    fn fellows(&mut self, fellows: Fellows) {
+        let left = fellows.until.saturating_duration_since(Instant::now());
+        let until = self.clock.now().saturating_add(left.as_micros() as Micros);
+        self.events.push_back(Event::Part { part: f64::from(fellows.thousandths) / 1e3, until });
+        self.directory.set_nodes(fellows.nodes());
+        self.book.siblings(fellows.numbers);
+        self.siblings = Some(fellows);
+    }
+
     fn due(&mut self, due: Due) {
         match due {
             Due::Module(token) => self.events.push_back(Event::Timer(token)),
--- a/crates/core/src/driver/look.rs
+++ b/crates/core/src/driver/look.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use lilacquay_observe::{Answers, BoxNow, List as ListNow, Observer, OrderNow, Snapshot, Waits};
+use lilacquay_observe::{Answers, BoxNow, List as ListNow, Observer, OrderNow, SiblingsNow, Snapshot, Waits};
 use lilacquay_steer::Hold;
 use paddlefold::{Micros, RequestId, ServerId, Waiting};
 use tokio::time::Instant;
@@ -54,6 +54,12 @@
         let (served, busy, failed) = (counted.passed, counted.dropped, counted.failed);
         snapshot.since_start = Answers { served, busy, failed, gone: 0 };
         snapshot.tries = counted.tries;
+        snapshot.siblings = self.siblings.map(|fellows| SiblingsNow {
+            here: fellows.numbers[0],
+            gone: fellows.numbers[1],
+            unknown: fellows.numbers[2],
+            part: if fellows.until > Instant::now() { f64::from(fellows.thousandths) / 1e3 } else { 0.0 },
+        });
         if let Some(quotas) = &mut self.quotas {
             snapshot.shares = quotas.shares(now);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -30,6 +30,25 @@
     Servers(oneshot::Sender<Vec<ServerNow>>),
     Watch(bool),
     Look(oneshot::Sender<Snapshot>),
+    Fellows(Fellows),
+}
+
+/// What a node may use of what all nodes share, and who they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fellows {
+    /// How much of its equal part, in thousandths.
+    pub thousandths: u32,
+    /// It holds until then.
+    pub until: Instant,
+    /// Others that are here, gone, and not known.
+    pub numbers: [usize; 3],
+}
+
+impl Fellows {
+    /// Nodes that may be using something, this one included.
+    pub fn nodes(&self) -> usize {
+        1 + self.numbers[0] + self.numbers[2]
+    }
 }
 
 /// A client's request.
@@ -86,6 +105,11 @@
         self.ask(Message::Look)
     }
 
+    /// Tells who is there, and what this node may use.
+    pub fn fellows(&self, fellows: Fellows) {
+        let _ = self.0.send(Message::Fellows(fellows)); // nobody goes by them once the core has ended
+    }
+
     /// Has figures gathered until this is dropped.
     pub fn watch(&self) -> Watching {
         let _ = self.0.send(Message::Watch(true)); // nobody is watched once the core has ended
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -5,7 +5,7 @@
 //! reads it asks for a form: the operators' lines ([`Book::lines`]) or Prometheus' text ([`Book::prometheus`]).
 
 use std::fmt::Write as _;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -17,6 +17,9 @@
 /// What the operators' lines begin with.
 const PREFIX: &str = "edge_edge";
 
+/// The figures of other nodes.
+const SIBLINGS: [&str; 3] = ["siblings_here", "siblings_gone", "siblings_unknown"];
+
 /// How a request has ended, as its client sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -59,7 +62,9 @@
     in_progress: Gauge,
     known: Gauge,
     skipped: Gauge,
-    registry: Registry,
+    /// Other nodes that are here, gone and not known; only where nodes speak to one another.
+    siblings: OnceLock<[Gauge; 3]>,
+    registry: Mutex<Registry>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -98,7 +103,8 @@
         registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
         registry.register("known_cache_servers", "Caches in the list", known.clone());
         registry.register("skipped_cache_servers", "Listed caches that are avoided now", skipped.clone());
-        Book(Arc::new(Pages { classes, unnamed, tries, in_progress, known, skipped, registry }))
+        let (siblings, registry) = (OnceLock::new(), Mutex::new(registry));
+        Book(Arc::new(Pages { classes, unnamed, tries, in_progress, known, skipped, siblings, registry }))
     }
 
     fn ends(&self, class: Option<usize>) -> &Ends {
@@ -129,6 +135,21 @@
         self.0.skipped.set(skipped as i64);
     }
 
+    /// How many other nodes are here, gone and not known. Figures of these are told from the first call on.
+    pub fn siblings(&self, numbers: [usize; 3]) {
+        let gauges = self.0.siblings.get_or_init(|| {
+            let gauges = SIBLINGS.map(|_| Gauge::default());
+            let mut registry = self.0.registry.lock().unwrap_or_else(PoisonError::into_inner);
+            for (name, gauge) in SIBLINGS.into_iter().zip(&gauges) {
+                registry.register(name, "Other nodes, as this one sees them", gauge.clone());
+            }
+            gauges
+        });
+        for (gauge, number) in gauges.iter().zip(numbers) {
+            gauge.set(number as i64);
+        }
+    }
+
     /// All classes together.
     pub fn totals(&self) -> Totals {
         let all = self.0.classes.iter().map(|(_, ends)| ends).chain([&self.0.unnamed]);
@@ -158,13 +179,17 @@
         put(&mut text, format_args!("in_progress"), self.0.in_progress.get(), 'g');
         put(&mut text, format_args!("known_cache_servers"), self.0.known.get(), 'g');
         put(&mut text, format_args!("skipped_cache_servers"), self.0.skipped.get(), 'g');
+        for (name, gauge) in SIBLINGS.into_iter().zip(self.0.siblings.get().into_iter().flatten()) {
+            put(&mut text, format_args!("{name}"), gauge.get(), 'g');
+        }
         text
     }
 
     /// Prometheus' text, in the OpenMetrics form.
     pub fn prometheus(&self) -> String {
         let mut text = String::new();
-        let _ = encode(&mut text, &self.0.registry); // a string takes all
+        let registry = self.0.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let _ = encode(&mut text, &registry); // a string takes all
         text
     }
 }
@@ -223,6 +248,16 @@
         assert!(text.contains("lilacquay_in_progress 1"), "{text}");
     }
 
+    #[test]
+    fn other_nodes_are_told_once_there_are_any() {
+        let book = Book::new(Vec::new());
+        assert!(!book.lines().contains("siblings") && !book.prometheus().contains("siblings"));
+        book.siblings([4, 1, 0]);
+        book.siblings([3, 2, 0]);
+        assert!(book.lines().contains("edge_edge.siblings_gone:2|g\nedge_edge.siblings_unknown:0|g"));
+        assert!(book.prometheus().contains("lilacquay_siblings_here 3"));
+    }
+
     #[test]
     fn a_class_that_nobody_names_is_not_told() {
         assert!(!Book::new(vec!["read".into()]).lines().contains("none"));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 mod site;
 pub mod store;
+pub mod trial;
 pub mod verdict;
 
 pub use clock::{Clock, Micros};
--- /dev/null
+++ b/crates/fleet/src/trial.rs
@@ -0,0 +1,498 @@
+//! Many nodes, each a process of the program, that see one another through a relay: a way for each ordered pair, which can
+//! be cut, one-sided, lossy, late, out of order and doubling, while processes are paused, killed and started again under
+//! their names. All that happens to them and all that they say goes, on one clock, into one file.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::clock::{Clock, Micros};
+use crate::{Fleet, Plan};
+
+/// The longest datagram that nodes may send, and one byte more to tell a longer one.
+const LONGEST: usize = 256;
+/// A process that says nothing for so long is held to be stuck.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// How datagrams go from one node to another.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Way {
+    /// None comes.
+    pub cut: bool,
+    /// The part that is lost.
+    pub loss: f64,
+    /// The part that comes twice.
+    pub doubled: f64,
+    /// Each takes up to so long, so that they overtake one another.
+    pub delay: Duration,
+}
+
+impl Way {
+    /// Nothing is lost, late or doubled.
+    pub const GOOD: Way = Way { cut: false, loss: 0.0, doubled: 0.0, delay: Duration::ZERO };
+    /// Nothing comes.
+    pub const CUT: Way = Way { cut: true, ..Way::GOOD };
+}
+
+/// Something that is done to the nodes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    /// The ways from each of some nodes to each of others.
+    Ways(Vec<usize>, Vec<usize>, Way),
+    /// These stop (SIGSTOP), with what they believe.
+    Pause(Vec<usize>),
+    /// These go on (SIGCONT).
+    Resume(Vec<usize>),
+    /// These are killed (SIGKILL), in one instant.
+    Kill(Vec<usize>),
+    /// These start again under their names.
+    Start(Vec<usize>),
+}
+
+/// Faults, and after what time each.
+pub type Script = Vec<(Duration, Fault)>;
+
+/// Faults drawn from a seed, at up to a third of the nodes at a time; in the end all are whole.
+pub fn drawn(seed: u64, nodes: usize, over: Duration) -> Script {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let all = || (0..nodes).collect::<Vec<usize>>();
+    let mut script = Script::new();
+    let rounds = 4;
+    for round in 0..rounds {
+        let (begin, end) =
+            (over.mul_f64(round as f64 / rounds as f64), over.mul_f64((round as f64 + 0.6) / rounds as f64));
+        let mut some = all();
+        rng.shuffle(&mut some);
+        some.truncate(1 + rng.usize(..nodes.div_ceil(3)));
+        let others: Vec<usize> = all().into_iter().filter(|node| !some.contains(node)).collect();
+        let (fault, mend) = match rng.u8(0..5) {
+            0 => (Fault::Ways(some.clone(), others.clone(), Way::CUT), Fault::Ways(some, others, Way::GOOD)),
+            1 => (Fault::Ways(others.clone(), some.clone(), Way::CUT), Fault::Ways(others, some, Way::GOOD)),
+            2 => {
+                let way = Way { loss: 0.2, doubled: 0.1, delay: Duration::from_millis(200), cut: false };
+                (Fault::Ways(all(), all(), way), Fault::Ways(all(), all(), Way::GOOD))
+            }
+            3 => (Fault::Pause(some.clone()), Fault::Resume(some)),
+            _ => (Fault::Kill(some.clone()), Fault::Start(some)),
+        };
+        script.extend([(begin, fault), (end, mend)]);
+    }
+    script
+}
+
+/// Something that happened, for the file.
+#[derive(Debug, Clone, Serialize)]
+pub struct Noted {
+    /// When, in microseconds of the trial's clock.
+    pub at: Micros,
+    /// At which node; at none if it was done to the ways.
+    pub node: Option<usize>,
+    /// What: a line of the node's log, or a fault.
+    pub what: String,
+}
+
+type Notes = Arc<Mutex<Vec<Noted>>>;
+
+/// What a trial is.
+#[derive(Debug, Clone)]
+pub struct TrialPlan {
+    /// The program under trial.
+    pub program: PathBuf,
+    /// How many nodes, two at least.
+    pub nodes: usize,
+    /// Whether they are siblings: without, no node knows of another.
+    pub siblings: bool,
+    /// For the ways' random choices.
+    pub seed: u64,
+    /// What they all serve.
+    pub fleet: Plan,
+}
+
+struct Process {
+    child: Option<Child>,
+    folder: PathBuf,
+    listen: SocketAddr,
+}
+
+/// Running nodes with all that they meet. They are killed when this is dropped.
+pub struct Trial {
+    /// What they all serve.
+    pub fleet: Fleet,
+    plan: TrialPlan,
+    processes: Vec<Process>,
+    ways: Arc<Ways>,
+    notes: Notes,
+    clock: Clock,
+    _relay: Relay,
+}
+
+impl Trial {
+    /// Starts all nodes; returns once each listens to clients.
+    ///
+    /// # Errors
+    /// If a socket, a file or a process can't be had.
+    pub fn start(plan: TrialPlan, folder: &Path) -> io::Result<Trial> {
+        let fleet = Fleet::start(plan.fleet.clone())?;
+        let (clock, notes) = (fleet.clock().clone(), Notes::default());
+        let nodes: Vec<SocketAddr> = (0..plan.nodes).map(|_| free_udp()).collect::<io::Result<_>>()?;
+        let ways = Arc::new(Ways::new(plan.nodes, plan.seed));
+        let relay = Relay::start(nodes.clone(), ways.clone())?;
+        let mut processes = Vec::new();
+        for node in 0..plan.nodes {
+            let folder = folder.join(format!("node-{node}"));
+            fs::create_dir_all(&folder)?;
+            let listen = free_tcp()?;
+            let mut configuration: Value =
+                serde_json::from_str(&fleet.configuration(listen, 512)).map_err(io::Error::other)?;
+            configuration["settings"]["Siblings"] = json!(plan.nodes);
+            configuration["seed"] = json!(format!("{:x}", plan.seed ^ (node as u64) << 32));
+            fs::write(folder.join("node.json"), configuration.to_string())?;
+            let mut seen: Vec<String> =
+                relay.seen_by[node].iter().map(|addr| format!("\"{addr}\"")).collect();
+            seen[node] = format!("\"{}\"", nodes[node]);
+            let siblings = match plan.siblings {
+                true => format!(
+                    "[siblings]\nsite = \"trial\"\nlisten = \"{}\"\nme = {node}\nnodes = [{}]\n",
+                    nodes[node],
+                    seen.join(", ")
+                ),
+                false => String::new(),
+            };
+            let options = format!("node = \"node.json\"\n[control]\nfolder = \"state\"\n{siblings}");
+            fs::write(folder.join("serve.toml"), options)?;
+            processes.push(Process { child: None, folder, listen });
+        }
+        let mut trial = Trial { fleet, plan, processes, ways, notes, clock, _relay: relay };
+        let all: Vec<usize> = (0..trial.plan.nodes).collect();
+        trial.start_nodes(&all)?;
+        Ok(trial)
+    }
+
+    /// How many nodes there are.
+    pub fn nodes(&self) -> usize {
+        self.plan.nodes
+    }
+
+    /// Where a node's clients connect, the same after a restart.
+    pub fn listen(&self, node: usize) -> SocketAddr {
+        self.processes[node].listen
+    }
+
+    /// A node's process, while it runs.
+    pub fn process(&self, node: usize) -> Option<u32> {
+        self.processes[node].child.as_ref().map(Child::id)
+    }
+
+    /// Datagrams that came from nodes, their bytes, and those of more than 256 bytes.
+    pub fn datagrams(&self) -> (u64, u64, u64) {
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        (count(&self.ways.datagrams), count(&self.ways.bytes), count(&self.ways.too_long))
+    }
+
+    /// All that happened so far, in order.
+    pub fn noted(&self) -> Vec<Noted> {
+        lock(&self.notes).clone()
+    }
+
+    /// Writes all that happened so far, a line of JSON each.
+    ///
+    /// # Errors
+    /// If the file can't be written.
+    pub fn write(&self, file: &Path) -> io::Result<()> {
+        let mut text = String::new();
+        for noted in self.noted() {
+            text.push_str(&serde_json::to_string(&noted).unwrap_or_default());
+            text.push('\n');
+        }
+        fs::write(file, text)
+    }
+
+    /// Does one thing to the nodes now.
+    ///
+    /// # Errors
+    /// If a process can't be started or signalled.
+    pub fn fault(&mut self, fault: &Fault) -> io::Result<()> {
+        note(&self.notes, &self.clock, None, format!("{fault:?}"));
+        match fault {
+            Fault::Ways(from, to, way) => {
+                self.ways.set(from, to, *way);
+                Ok(())
+            }
+            Fault::Pause(nodes) => self.signal(nodes, Signal::STOP),
+            Fault::Resume(nodes) => self.signal(nodes, Signal::CONT),
+            Fault::Kill(nodes) => {
+                self.signal(nodes, Signal::KILL)?;
+                for &node in nodes {
+                    if let Some(mut child) = self.processes[node].child.take() {
+                        child.wait()?;
+                    }
+                }
+                Ok(())
+            }
+            Fault::Start(nodes) => self.start_nodes(nodes),
+        }
+    }
+
+    /// Plays a script.
+    ///
+    /// # Errors
+    /// As [`Trial::fault`].
+    pub fn play(&mut self, script: &Script) -> io::Result<()> {
+        let start = Instant::now();
+        for (at, fault) in script {
+            std::thread::sleep((start + *at).saturating_duration_since(Instant::now()));
+            self.fault(fault)?;
+        }
+        Ok(())
+    }
+
+    /// What a node sees of the others, as its control socket tells it; nothing if it doesn't answer.
+    pub fn sight(&self, node: usize) -> Option<Value> {
+        let mut stream = UnixStream::connect(self.processes[node].folder.join("state/control.sock")).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.write_all(b"{\"v\":2,\"ask\":\"siblings\"}\n").ok()?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).ok()?;
+        let answer: Value = serde_json::from_str(&line).ok()?;
+        answer.get("sight").cloned()
+    }
+
+    /// What one node holds another to be: `here`, `gone` or `unknown`.
+    pub fn state(&self, at: usize, of: usize) -> Option<String> {
+        let sight = self.sight(at)?;
+        let fellows = sight["fellows"].as_array()?;
+        let fellow = fellows.iter().find(|fellow| fellow["node"] == json!(of))?;
+        fellow["state"].as_str().map(str::to_owned)
+    }
+
+    /// Waits until something holds; tells whether it came to, within a time that no busy machine needs.
+    pub fn until(&self, holds: impl Fn(&Trial) -> bool) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if holds(self) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Whether all of these nodes hold each other to be here and use all of their parts, and see the same.
+    pub fn whole(&self, nodes: &[usize]) -> bool {
+        let sights: Option<Vec<Value>> = nodes.iter().map(|&node| self.sight(node)).collect();
+        sights.is_some_and(|sights| {
+            sights.iter().all(|sight| {
+                let here = |fellow: &Value| {
+                    let node = fellow["node"].as_u64().map_or(usize::MAX, |node| node as usize);
+                    !nodes.contains(&node) || fellow["state"] == "here"
+                };
+                sight["epoch"] == sights[0]["epoch"]
+                    && sight["confirmed"] == json!(true)
+                    && sight["fellows"].as_array().is_some_and(|all| all.iter().all(here))
+            })
+        })
+    }
+
+    fn signal(&self, nodes: &[usize], signal: Signal) -> io::Result<()> {
+        for &node in nodes {
+            let id = self.process(node).and_then(|id| Pid::from_raw(id.cast_signed()));
+            if let Some(id) = id {
+                kill_process(id, signal)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts these at once; returns once each listens.
+    fn start_nodes(&mut self, nodes: &[usize]) -> io::Result<()> {
+        let mut starting = Vec::new();
+        for &node in nodes {
+            if self.processes[node].child.is_some() {
+                continue;
+            }
+            let mut command = Command::new(&self.plan.program);
+            command.arg("serve").arg("--config").arg(self.processes[node].folder.join("serve.toml"));
+            let mut child = command.stderr(Stdio::piped()).spawn()?;
+            let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
+            self.processes[node].child = Some(child);
+            starting.push((node, log));
+        }
+        for (node, log) in starting {
+            self.follow(node, log)?;
+        }
+        Ok(())
+    }
+
+    /// Notes what a process says; returns once it listens.
+    fn follow(&self, node: usize, log: ChildStderr) -> io::Result<()> {
+        let (notes, clock) = (self.notes.clone(), self.clock.clone());
+        let (ready, listens) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            for line in BufReader::new(log).lines().map_while(Result::ok) {
+                let listens = line.contains("the node is in service");
+                note(&notes, &clock, Some(node), line);
+                if listens {
+                    let _ = ready.send(()); // who waited may have given up
+                }
+            }
+        });
+        listens.recv_timeout(PATIENCE).map_err(|_| io::Error::other(format!("node {node} doesn't come up")))
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        for child in self.processes.iter_mut().filter_map(|process| process.child.as_mut()) {
+            let _ = child.kill(); // it may have ended
+            let _ = child.wait();
+        }
+    }
+}
+
+fn note(notes: &Notes, clock: &Clock, node: Option<usize>, what: String) {
+    lock(notes).push(Noted { at: clock.now(), node, what });
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A port that nobody has, as good as surely also a moment later.
+fn free_udp() -> io::Result<SocketAddr> {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn free_tcp() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+/// The ways between all ordered pairs.
+struct Ways {
+    nodes: usize,
+    ways: Mutex<(Vec<Way>, fastrand::Rng)>,
+    datagrams: AtomicU64,
+    bytes: AtomicU64,
+    too_long: AtomicU64,
+}
+
+impl Ways {
+    fn new(nodes: usize, seed: u64) -> Ways {
+        let ways = Mutex::new((vec![Way::GOOD; nodes * nodes], fastrand::Rng::with_seed(seed)));
+        let (datagrams, bytes, too_long) = Default::default();
+        Ways { nodes, ways, datagrams, bytes, too_long }
+    }
+
+    fn set(&self, from: &[usize], to: &[usize], way: Way) {
+        let mut ways = lock(&self.ways);
+        for &from in from {
+            for &to in to.iter().filter(|&&to| to != from) {
+                ways.0[from * self.nodes + to] = way;
+            }
+        }
+    }
+
+    /// After which times a datagram comes: nothing if it is lost, two if it is doubled.
+    fn carry(&self, from: usize, to: usize, length: usize) -> Vec<Duration> {
+        self.datagrams.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(length as u64, Ordering::Relaxed);
+        if length > LONGEST {
+            self.too_long.fetch_add(1, Ordering::Relaxed);
+        }
+        let (ways, rng) = &mut *lock(&self.ways);
+        let way = ways[from * self.nodes + to];
+        if way.cut || length > LONGEST || rng.f64() < way.loss {
+            return Vec::new();
+        }
+        let times = if rng.f64() < way.doubled { 2 } else { 1 };
+        (0..times).map(|_| way.delay.mul_f64(rng.f64())).collect()
+    }
+}
+
+/// Carries datagrams between nodes, on a thread of its own: node `i` reaches `j` at an address that is no other's.
+struct Relay {
+    /// By node, the addresses at which it sees the others.
+    seen_by: Vec<Vec<SocketAddr>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Relay {
+    fn start(nodes: Vec<SocketAddr>, ways: Arc<Ways>) -> io::Result<Relay> {
+        let mut sockets = Vec::new();
+        for _ in 0..nodes.len() * nodes.len() {
+            let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+            socket.set_nonblocking(true)?;
+            sockets.push(socket);
+        }
+        let addresses: Vec<SocketAddr> =
+            sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<_>>()?;
+        let seen_by = addresses.chunks(nodes.len()).map(<[SocketAddr]>::to_vec).collect();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::Builder::new().name("relay".into()).spawn(move || {
+            runtime.block_on(async move {
+                let sockets: Result<Vec<_>, _> =
+                    sockets.into_iter().map(tokio::net::UdpSocket::from_std).collect();
+                let Ok(sockets) = sockets.map(Arc::new) else { return };
+                for from in 0..nodes.len() {
+                    for to in (0..nodes.len()).filter(|&to| to != from) {
+                        tokio::spawn(relay(sockets.clone(), ways.clone(), nodes.clone(), from, to));
+                    }
+                }
+                let _ = stopped.await; // by word, or for the trial has gone
+            });
+        })?;
+        Ok(Relay { seen_by, stop: Some(stop), thread: Some(thread) })
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.stop = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Carries what one node sends to another.
+async fn relay(
+    sockets: Arc<Vec<tokio::net::UdpSocket>>,
+    ways: Arc<Ways>,
+    nodes: Vec<SocketAddr>,
+    from: usize,
+    to: usize,
+) {
+    let (into, back) = (from * nodes.len() + to, to * nodes.len() + from);
+    let mut datagram = [0; LONGEST + 1];
+    loop {
+        // A node that has died makes the next receive fail once.
+        let Ok((length, sender)) = sockets[into].recv_from(&mut datagram).await else { continue };
+        if sender != nodes[from] {
+            continue;
+        }
+        for delay in ways.carry(from, to, length) {
+            let (sockets, text, at) = (sockets.clone(), datagram[..length].to_vec(), nodes[to]);
+            if delay.is_zero() {
+                let _ = sockets[back].send_to(&text, at).await; // as if it were lost
+            } else {
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let _ = sockets[back].send_to(&text, at).await; // as if it were lost
+                });
+            }
+        }
+    }
+}
--- a/crates/lilacquay/src/appliance.rs
+++ b/crates/lilacquay/src/appliance.rs
@@ -162,6 +162,7 @@
         etcd: None,
         memcached: None,
         quota: None,
+        siblings: None,
         control: Some(state?),
         log,
     };
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -56,6 +56,8 @@
     Stop(ControlArgs),
     /// Have a running node write a bundle for whoever looks for a fault
     Diagnose(ControlArgs),
+    /// Show what a running node sees of the other nodes: who is here, gone or not known, and who hears whom
+    Siblings(ControlArgs),
     /// Show the orders that hold at a running node
     Orders(ControlArgs),
     /// Take a server out of service at a running node: it finishes what it has and gets nothing new
--- a/crates/lilacquay/src/config.rs
+++ b/crates/lilacquay/src/config.rs
@@ -23,6 +23,7 @@
 use crate::mistake::{Mistake, Mistakes, one_line, unreadable};
 use crate::options::Options;
 use crate::quota::Quota;
+use crate::siblings::Site;
 
 /// Descriptors that are neither clients' nor servers' connections: the standard streams, the
 /// listener, discovery, the runtime's own, and one to spare for a connection that is turned away.
@@ -75,6 +76,8 @@
     pub memcached: Option<(Memcached, Ready)>,
     /// Quotas, of names that the settings have.
     pub quota: Option<Quota>,
+    /// The other nodes, where they may speak to one another.
+    pub siblings: Option<Site>,
     /// The state folder, in which operators' orders are taken.
     pub control: Option<PathBuf>,
     pub seed: u64,
@@ -95,6 +98,7 @@
     pub etcd: Option<(Etcd, Settings)>,
     pub memcached: Option<Memcached>,
     pub quota: Option<Quota>,
+    pub siblings: Option<Site>,
 }
 
 /// A listening socket that the platform holds and passes.
@@ -144,6 +148,9 @@
     listen: Option<String>,
     discovery: Option<String>,
     admin: Option<String>,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -167,6 +174,7 @@
     limits: Limits,
     known: Told,
     setup: Setup,
+    siblings: Option<Site>,
 }
 
 impl Read {
@@ -209,6 +217,9 @@
         };
         let (listen, discovery) = (address("listen", &file.listen), address("discovery", &file.discovery));
         let admin = address("admin", &file.admin);
+        let peer_listen = address("peer_listen", &file.peer_listen);
+        let peers: Vec<SocketAddr> =
+            file.peers.iter().filter_map(|peer| address("peers", &Some(peer.clone()))).collect();
         let seed = u64::from_str_radix(&file.seed, 16);
         if seed.is_err() {
             let what = format!("bad seed {:?}", file.seed);
@@ -223,7 +234,10 @@
             mistakes.at(place(text, "Effect"), "settings.Classes", error.to_string(), mend);
         });
         let (seed, setup) = (seed.ok()?, setup.ok()?);
-        Some(Read { listen, discovery, admin, seed, limits: file.limits, known: file.known, setup })
+        let site = setup.names.all_classes().join(",");
+        let siblings = Site::of_platform(setup.peers, peer_listen, peers, setup.me, site);
+        let (limits, known) = (file.limits, file.known);
+        Some(Read { listen, discovery, admin, seed, limits, known, setup, siblings })
     }
 }
 
@@ -353,6 +367,7 @@
             etcd: etcd.map(|(settings, etcd)| (etcd, settings)),
             memcached,
             quota,
+            siblings: said.map_or(read.siblings, |said| said.siblings.clone()),
             control: said.and_then(|said| said.control.clone()),
             seed: read.seed,
             sockets: said.and_then(|said| said.sockets).or(read.limits.sockets).unwrap_or(SOCKETS),
@@ -384,12 +399,15 @@
                     etcd: None,
                     memcached: None,
                     quota: None,
+                    siblings: read.siblings,
                 })
             }
             Source::Options(_) | Source::Appliance(_) => {
-                let Config { discovery, etcd, memcached, quota, known, fixed, .. } = Config::read(source)?;
+                let Config { discovery, etcd, memcached, quota, known, fixed, siblings, .. } =
+                    Config::read(source)?;
                 let fixed = fixed.then_some(List { full: true, ..known.list });
-                Ok(Sources { fixed, discovery, etcd, memcached: memcached.map(|(file, _)| file), quota })
+                let memcached = memcached.map(|(file, _)| file);
+                Ok(Sources { fixed, discovery, etcd, memcached, quota, siblings })
             }
         }
     }
@@ -414,6 +432,7 @@
             "etcd": etcd,
             "memcached": listeners,
             "quotas": self.quota.is_some(),
+            "siblings": self.siblings.as_ref().map(|site| json!({ "me": site.me, "nodes": site.nodes })),
             "sockets": self.sockets,
             "memory_mb": self.memory_mb,
             "log": format!("{:?}", self.log),
@@ -448,7 +467,7 @@
     }
 
     fn reserved(&self) -> usize {
-        RESERVED + if self.admin.is_some() { ADMIN } else { 0 }
+        RESERVED + if self.admin.is_some() { ADMIN } else { 0 } + usize::from(self.siblings.is_some())
     }
 }
 
--- a/crates/lilacquay/src/control.rs
+++ b/crates/lilacquay/src/control.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
-use lilacquay_control::{Answer, Client, ClientError, Standing, Verb};
+use lilacquay_control::{Answer, Client, ClientError, Sight, Standing, Verb};
 use lilacquay_observe::{BoxNow, Event, Snapshot};
 
 use crate::cli::{ControlArgs, DrainArgs, EventsArgs, LevelArgs, UndrainArgs};
@@ -79,6 +79,10 @@
     code(ask(args, Verb::Orders))
 }
 
+pub fn siblings(args: &ControlArgs) -> ExitCode {
+    code(ask(args, Verb::Siblings))
+}
+
 pub fn undrain(args: UndrainArgs) -> ExitCode {
     let UndrainArgs { server, control, seen } = args;
     code(ask(&control, Verb::Undrain { server, seen }))
@@ -179,6 +183,7 @@
             }
         }
         Answer::Snapshot { snapshot } => overview(snapshot),
+        Answer::Siblings { sight } => fellows(sight),
         Answer::Done { what, unrecorded } => {
             println!("{}", what.escape_debug());
             if let Some(why) = unrecorded {
@@ -206,11 +211,63 @@
     } else {
         String::new()
     };
+    if let Some(siblings) = now.siblings {
+        println!(
+            "siblings: {} here, {} gone, {} unknown; this node may use {:.3} of its part",
+            siblings.here, siblings.gone, siblings.unknown, siblings.part
+        );
+    }
     println!("list from {}, told {:.0} s ago{failures}", now.list.source.escape_debug(), now.list.told_s);
     println!("{:24} {:8} {:10} {:>5} {:>5}  state", "server", "zone", "kind", "out", "idle");
     now.boxes.iter().for_each(row);
 }
 
+fn fellows(sight: &Sight) {
+    let yes = |yes: bool, word: &'static str, no: &'static str| if yes { word } else { no };
+    println!(
+        "node {} of {} in {:?}, incarnation {}, view {}: {}{}",
+        sight.me,
+        sight.nodes,
+        sight.site,
+        sight.incarnation,
+        sight.epoch.escape_debug(),
+        yes(sight.confirmed, "confirmed", "NOT CONFIRMED, it uses nothing shared"),
+        yes(sight.superseded, "; ANOTHER PROCESS HAS ITS NAME", "")
+    );
+    println!(
+        "{} here, {} gone, {} unknown; it may use {:.3} of its part; {} pauses of its own, doubt {} of 8",
+        sight.here, sight.gone, sight.unknown, sight.part, sight.pauses, sight.doubt
+    );
+    println!(
+        "{} datagrams sent with {} bytes, {} read, {} could not be read, {} of strangers, {} from nobody's address",
+        sight.sent, sight.sent_bytes, sight.read, sight.unread, sight.strangers, sight.unlisted
+    );
+    println!("{:>5} {:21} {:8} {:>8} {:>8}  ways     evidence", "node", "address", "state", "for", "heard");
+    for fellow in &sight.fellows {
+        let (in_, out) = (fellow.we_hear, fellow.hears_us);
+        let arrow = |open: Option<bool>, drawn: &'static str| match open {
+            Some(true) => drawn,
+            Some(false) => "cut",
+            None => "-",
+        };
+        let heard = fellow.heard_s.map_or("-".to_owned(), |ago| format!("{ago:.1} s"));
+        let suspected = if fellow.suspected { " (suspected)" } else { "" };
+        println!(
+            "{:>5} {:21} {:8} {:>6.0} s {heard:>8}  {:3} {:3}  {}{suspected}",
+            fellow.node,
+            fellow.address.escape_debug().to_string(),
+            fellow.state.escape_debug().to_string(),
+            fellow.since_s,
+            arrow(in_, "in"),
+            arrow(out, "out"),
+            fellow.why.escape_debug()
+        );
+    }
+    for way in sight.ways.iter().filter(|way| !way.open) {
+        println!("node {} doesn't hear node {}", way.to, way.from);
+    }
+}
+
 fn row(server: &BoxNow) {
     let plain = |text: &str| text.escape_debug().to_string();
     let (name, zone, kind) = (plain(&server.name), plain(&server.zone), plain(&server.kind));
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -21,6 +21,7 @@
 mod restart;
 mod script;
 mod section;
+mod siblings;
 
 use std::fmt::Display;
 use std::io::{self, Write};
@@ -55,6 +56,7 @@
         Some(Command::Join(args)) => control::node(&args, Verb::Join),
         Some(Command::Stop(args)) => control::node(&args, Verb::Stop),
         Some(Command::Diagnose(args)) => control::node(&args, Verb::Diagnose),
+        Some(Command::Siblings(args)) => control::siblings(&args),
         Some(Command::Orders(args)) => control::orders(&args),
         Some(Command::Drain(args)) => control::drain(args),
         Some(Command::Undrain(args)) => control::undrain(args),
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -33,6 +33,7 @@
 use crate::memcached::Memcached;
 use crate::quota::Quota;
 use crate::restart::keep;
+use crate::siblings::{self, Site, Ties};
 
 /// A core that has failed has answered all as failed; its connections have so long to say so.
 const LAST_WRITES: Duration = Duration::from_millis(600);
@@ -125,11 +126,20 @@
     }
     let mut driver = AbortOnDropHandle::new(tokio::spawn(driver.run()));
     let (to_node, commands) = mpsc::channel(COMMANDS);
+    let nodes = watch::Sender::new(config.setup.settings.nodes);
+    let (to_siblings, asks) = siblings::asks();
+    let kin = config.siblings.clone().map(|site| {
+        let (to, site) = watch::channel(site);
+        let (orders, nodes, keeper) = (orders.clone(), nodes.clone(), keeper.clone());
+        parts.spawn(Ties { orders, nodes, keeper, asks, site, seed: config.seed }.run());
+        to
+    });
     if let Some(state) = state {
         let host = Host {
             events: logging.events.clone(),
             commands: to_node.clone(),
             described: config.described(),
+            siblings: kin.is_some().then(|| to_siblings.clone()),
             descriptor_limit: config.sockets,
         };
         let listen = {
@@ -153,7 +163,7 @@
         let holds = move || ((hall.guests() + gauges.connections()) * 1000 / most) as u32;
         parts.spawn(succession.keep(orders.clone(), holds, keeper.bearing()));
     }
-    let followed = Followed::start(members, orders, version, &config, &mut parts);
+    let followed = Followed::start(members, orders, version, &config, nodes.subscribe(), kin, &mut parts);
     let told = Told { commands, keeper: keeper.clone(), logging };
     let told = told.follow(followed, reload, source);
     tokio::pin!(told);
@@ -256,6 +266,8 @@
     discovery: Option<watch::Sender<SocketAddr>>,
     etcd: Option<(Etcd, watch::Sender<Settings>)>,
     memcached: Option<Memcached>,
+    /// Where another list of nodes is told.
+    siblings: Option<watch::Sender<Site>>,
     /// Where other quotas are told, with the names that they are read by.
     quotas: Option<(Orders, Arc<Names>)>,
     /// Where the list is told, if the configuration has all of it.
@@ -271,13 +283,15 @@
         orders: Orders,
         known: Option<u64>,
         config: &Config,
+        nodes: watch::Receiver<usize>,
+        siblings: Option<watch::Sender<Site>>,
         parts: &mut JoinSet<()>,
     ) -> Followed {
-        let nodes = config.setup.settings.nodes;
         let discovery = config.discovery.map(|at| {
             let (to, address) = watch::channel(at);
             let members = members.clone().of("discovery");
-            let follow = move || discovery::Watch::new(members.clone(), known, nodes).run(address.clone());
+            let follow =
+                move || discovery::Watch::new(members.clone(), known, nodes.clone()).run(address.clone());
             (to, parts.spawn(keep("discovery", follow)))
         });
         let (discovery, rival) = discovery.unzip();
@@ -296,7 +310,7 @@
         });
         let memcached = config.memcached.as_ref().map(|(file, _)| file.clone());
         let quotas = config.quota.as_ref().map(|_| (orders, config.setup.names.clone()));
-        Followed { discovery, etcd, memcached, quotas, fixed }
+        Followed { discovery, etcd, memcached, siblings, quotas, fixed }
     }
 
     /// Goes by the configuration as it is now, as far as it may change while the node runs.
@@ -309,6 +323,7 @@
         self.discovery_moved(new.discovery);
         self.etcd_moved(new.etcd);
         self.quotas_changed(new.quota);
+        self.siblings_changed(new.siblings);
         if new.memcached != self.memcached {
             warn!("memcached's options change only with a restart; kept as they were");
         }
@@ -334,6 +349,21 @@
         }
     }
 
+    fn siblings_changed(&self, new: Option<Site>) {
+        match (&self.siblings, new) {
+            (Some(to), Some(new)) => {
+                _ = to.send_if_modified(|site| {
+                    *site != new && {
+                        *site = new;
+                        true
+                    }
+                })
+            }
+            (None, None) => {}
+            _ => warn!("siblings come or go only with a restart; kept as they were"),
+        }
+    }
+
     fn quotas_changed(&self, new: Option<Quota>) {
         match (&self.quotas, new) {
             (Some((orders, names)), Some(new)) => orders.quotas(new.admission(names)),
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -11,6 +11,7 @@
 use crate::mistake::{Mistake, Mistakes, unreadable};
 use crate::quota::Quota;
 use crate::section::{self, Section};
+use crate::siblings::Site;
 
 /// What the file says.
 #[derive(Debug, Clone, PartialEq)]
@@ -35,6 +36,8 @@
     pub memcached: Option<Memcached>,
     /// Quotas.
     pub quota: Option<Quota>,
+    /// The other nodes.
+    pub siblings: Option<Site>,
     /// The state folder, in which operators' orders are taken.
     pub control: Option<PathBuf>,
     /// How it is logged.
@@ -72,6 +75,7 @@
             "memcached",
             "quota",
             "control",
+            "siblings",
             "log",
         ]);
         let node = root.text("node");
@@ -104,6 +108,7 @@
         control.only(&["folder"]);
         let folder = file.parent().unwrap_or(Path::new(""));
         let control = control.text("folder").map(|state| folder.join(state));
+        let siblings = Site::read(&mut root);
         let log = log(&mut root, folder);
         let node = folder.join(node?);
         let options = Options {
@@ -117,6 +122,7 @@
             etcd: None,
             memcached: None,
             quota: None,
+            siblings,
             control,
             log,
         };
@@ -182,6 +188,7 @@
         assert!(options.listen.is_some() && options.discovery.is_some());
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
         assert!(options.admin.is_some() && !options.prometheus);
+        assert!(options.siblings.is_some_and(|site| site.nodes.len() == 3 && site.me == 0));
     }
 
     #[test]
@@ -191,7 +198,7 @@
             ("[limits]", "1: node: missing; name the platform's JSON file, as in node = \"node.json\""),
             (
                 "node = \"n\"\nport = 1",
-                "2: port: no such key; take it out, or write one of node, resp, discovery, admin, limits, etcd, memcached, quota, control, log",
+                "2: port: no such key; take it out, or write one of node, resp, discovery, admin, limits, etcd, memcached, quota, control, siblings, log",
             ),
             ("node = \"n\"\nresp = 1", "2: resp: not a table; write [resp] and its keys below"),
             (
@@ -202,6 +209,18 @@
                 "node = \"n\"\n[admin]\nform = \"html\"",
                 "3: admin.form: no such form; write lines or prometheus",
             ),
+            (
+                "node = \"n\"\n[siblings]\nsite = \"s\"\nlisten = \"127.0.0.1:1\"\nme = 0\nnodes = [\"127.0.0.1:1\"]",
+                "6: siblings.nodes: too few or too many; list 2 to 65535 nodes, this one among them",
+            ),
+            (
+                "node = \"n\"\n[siblings]\nsite = \"s\"\nlisten = \"127.0.0.1:1\"\nme = 2\nnodes = [\"127.0.0.1:1\", \"127.0.0.1:2\"]",
+                "5: siblings.me: out of range; write a whole number from 0 to 1",
+            ),
+            (
+                "node = \"n\"\n[siblings]\nsite = \"s\"\nlisten = \"127.0.0.1:1\"\nme = 1\nnodes = [\"127.0.0.1:1\", \"127.0.0.1:1\"]",
+                "6: siblings.nodes: 127.0.0.1:1 stands there twice; list each node once",
+            ),
             (
                 "node = \"n\"\n[limits]\nsockets = 3",
                 "3: limits.sockets: out of range; write a whole number from 48 to 1048576",
--- /dev/null
+++ b/crates/lilacquay/src/siblings.rs
@@ -0,0 +1,377 @@
+//! The other nodes: datagrams to and from them, and what that comes to for this node. All that is decided of it, the
+//! package `siblings` decides.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use lilacquay_codec::siblings::{LONGEST, site};
+use lilacquay_control::{FellowNow, Sight, WayNow};
+use lilacquay_core::{Clock, Fellows, Micros, Orders};
+use lilacquay_life::State as Life;
+use lilacquay_siblings::{Change, Fellow, Out, Setup, Siblings, State, Terms, Why};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until};
+use tracing::{error, info, warn};
+
+use crate::keeper::Keeper;
+use crate::section::Section;
+
+/// Datagrams that are read before others have their turn.
+const TURN: usize = 32;
+/// Changes that are logged one by one; of more, the count.
+const NAMED: usize = 12;
+/// A part that holds for longer is told as one that holds for so long.
+const LONG: Duration = Duration::from_secs(86_400);
+/// The wait before another try to listen.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Most nodes of a list: their numbers are 16 bits on the way.
+const MOST: usize = 65_535;
+
+/// Who the siblings are.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Site {
+    /// Its name: nodes of other sites are not listened to.
+    pub name: String,
+    /// Where this node listens.
+    pub listen: SocketAddr,
+    /// All nodes in the order of their numbers, as this one reaches them, its own among them.
+    pub nodes: Vec<SocketAddr>,
+    /// This node's number.
+    pub me: usize,
+}
+
+impl Site {
+    /// What the platform tells; nothing where nodes may not speak to one another, or there is nobody to speak to.
+    pub fn of_platform(
+        allowed: bool,
+        listen: Option<SocketAddr>,
+        nodes: Vec<SocketAddr>,
+        me: Option<usize>,
+        name: String,
+    ) -> Option<Site> {
+        let (listen, me) = (listen.filter(|_| allowed)?, me?);
+        let site = Site { name, listen, nodes, me };
+        let good = site.nodes.len() > 1 && site.nodes.len() <= MOST && me < site.nodes.len();
+        (good && site.twice().is_none()).then_some(site)
+    }
+
+    /// Reads `[siblings]`; nothing if there is no such table, or a mistake in it, which is noted.
+    pub fn read(root: &mut Section) -> Option<Site> {
+        if !root.has("siblings") {
+            return None;
+        }
+        let mut section = root.section("siblings");
+        section.only(&["site", "listen", "nodes", "me"]);
+        for (key, mend) in [
+            ("site", "name the site, the same at all its nodes"),
+            ("listen", "give the address on which the others' datagrams come"),
+            ("nodes", "list all nodes in one order, as in [\"10.0.0.1:7946\", \"10.0.0.2:7946\"]"),
+            ("me", "give this node's place in the list, from 0"),
+        ] {
+            if !section.has(key) {
+                section.missing(key, mend);
+            }
+        }
+        let (name, listen) = (section.text("site").map(str::to_owned), section.address("listen"));
+        let texts = section.texts("nodes")?;
+        let mut nodes = Vec::with_capacity(texts.len());
+        for (place, text) in texts {
+            match text.parse() {
+                Ok(node) => nodes.push(node),
+                Err(_) => section.note(
+                    place,
+                    "nodes",
+                    format!("{text:?} is no address with a port"),
+                    "write it as 10.0.0.1:7946 or [fd00::1]:7946",
+                ),
+            }
+        }
+        let place = section.place("nodes");
+        if nodes.len() < 2 || nodes.len() > MOST {
+            section.note(place, "nodes", "too few or too many", "list 2 to 65535 nodes, this one among them");
+        }
+        let me = section.number("me", 0..=nodes.len().saturating_sub(1));
+        let site = Site { name: name?, listen: listen?, nodes, me: me? };
+        if let Some(twice) = site.twice() {
+            section.note(place, "nodes", format!("{twice} stands there twice"), "list each node once");
+        }
+        Some(site)
+    }
+
+    fn twice(&self) -> Option<SocketAddr> {
+        let mut seen = HashSet::new();
+        self.nodes.iter().copied().find(|node| !seen.insert(*node))
+    }
+}
+
+/// Whoever asks what the node sees.
+pub type Asks = mpsc::Receiver<oneshot::Sender<Sight>>;
+
+/// What a node tells its siblings' task, and is told by it.
+pub struct Ties {
+    /// Who goes by the part and the numbers.
+    pub orders: Orders,
+    /// Who goes by the number of nodes that may be using something.
+    pub nodes: watch::Sender<usize>,
+    pub keeper: Keeper,
+    pub asks: Asks,
+    /// The site, as the configuration has it now.
+    pub site: watch::Receiver<Site>,
+    pub seed: u64,
+}
+
+impl Ties {
+    /// Runs until the node ends. A list that has changed begins anew, with nobody known.
+    pub async fn run(mut self) {
+        loop {
+            let site = self.site.borrow_and_update().clone();
+            match UdpSocket::bind(site.listen).await {
+                Ok(socket) => {
+                    info!("siblings: node {} of {} listens on {}", site.me, site.nodes.len(), site.listen);
+                    Kin::new(site, socket, &self).run(&mut self).await;
+                }
+                Err(error) => {
+                    warn!("siblings: cannot listen on {}: {error}; tried again in a second", site.listen);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+/// The siblings of one list.
+struct Kin {
+    socket: UdpSocket,
+    site: Site,
+    by_address: HashMap<SocketAddr, usize>,
+    clock: Clock,
+    siblings: Siblings,
+    /// Datagrams from addresses that are no node's.
+    unlisted: u64,
+    told: Option<Fellows>,
+}
+
+impl Kin {
+    fn new(site: Site, socket: UdpSocket, ties: &Ties) -> Kin {
+        let clock = Clock::new();
+        let setup = Setup {
+            me: site.me,
+            nodes: site.nodes.len(),
+            site: self::site(&site.name, site.nodes.len()),
+            seed: ties.seed ^ wall(),
+            terms: Terms::default(),
+        };
+        let by_address = site.nodes.iter().copied().zip(0..).collect();
+        let siblings = Siblings::new(setup, clock.now(), wall());
+        Kin { socket, site, by_address, clock, siblings, unlisted: 0, told: None }
+    }
+
+    /// Runs until the list changes.
+    async fn run(mut self, ties: &mut Ties) {
+        let mut bearing = ties.keeper.bearing();
+        let (mut datagram, mut leaving) = ([0; LONGEST + 1], false);
+        loop {
+            let due = self.clock.instant(self.siblings.due());
+            let out = tokio::select! {
+                biased;
+                () = sleep_until(due) => self.siblings.tick(self.clock.now(), wall()),
+                come = self.socket.recv_from(&mut datagram) => {
+                    let mut out = Vec::new();
+                    let mut come = come;
+                    for _ in 0..TURN {
+                        let Ok((length, from)) = come else { break };
+                        out.extend(self.heard(from, &datagram[..length]));
+                        come = self.socket.try_recv_from(&mut datagram);
+                    }
+                    out
+                }
+                Some(ask) = ties.asks.recv() => {
+                    let _ = ask.send(self.sight()); // who asked may have left
+                    continue;
+                }
+                Ok(()) = bearing.changed() => match ties.keeper.state() {
+                    Life::Finishing { shared: false, .. } if !leaving => {
+                        leaving = true;
+                        self.siblings.leave(self.clock.now())
+                    }
+                    _ => continue,
+                },
+                Ok(()) = ties.site.changed() => {
+                    if *ties.site.borrow() == self.site {
+                        continue;
+                    }
+                    let last = self.siblings.leave(self.clock.now());
+                    info!("siblings: the list of nodes has changed; it begins anew");
+                    return self.send(last).await;
+                }
+            };
+            self.send(out).await;
+            self.log();
+            self.tell(ties);
+            yield_now().await;
+        }
+    }
+
+    fn heard(&mut self, from: SocketAddr, datagram: &[u8]) -> Vec<Out> {
+        match self.by_address.get(&from) {
+            Some(&node) => self.siblings.heard(self.clock.now(), wall(), node, datagram),
+            None => {
+                self.unlisted += 1;
+                if self.unlisted == 1 {
+                    warn!(
+                        "siblings: a datagram came from {from}, which is no node's address; such are dropped"
+                    );
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    async fn send(&self, out: Vec<Out>) {
+        for Out { to, datagram } in out {
+            // One that is lost is said again; what a network refuses is as lost.
+            let _: io::Result<usize> = self.socket.send_to(&datagram, self.site.nodes[to]).await;
+        }
+    }
+
+    /// Tells the rest of the node what it may use, if that is something else or holds for longer.
+    fn tell(&mut self, ties: &Ties) {
+        let now = self.clock.now();
+        let part = self.siblings.part(now);
+        let left = Duration::from_micros(part.until.saturating_sub(now)).min(LONG);
+        let fellows = Fellows {
+            thousandths: part.at(now),
+            until: Instant::now() + left,
+            numbers: self.siblings.numbers(),
+        };
+        let renewed = |told: &Fellows| {
+            (told.thousandths, told.numbers) == (fellows.thousandths, fellows.numbers)
+                && fellows.until < told.until + Duration::from_millis(100)
+        };
+        if !self.told.as_ref().is_some_and(renewed) {
+            self.told = Some(fellows);
+            ties.orders.fellows(fellows);
+            ties.nodes.send_if_modified(|nodes| {
+                let changed = *nodes != fellows.nodes();
+                *nodes = fellows.nodes();
+                changed
+            });
+        }
+    }
+
+    fn log(&mut self) {
+        let changes = self.siblings.changes();
+        let states = changes.iter().filter(|change| matches!(change, Change::State { .. })).count();
+        if states > NAMED {
+            let [here, gone, unknown] = self.siblings.numbers();
+            info!(here, gone, unknown, "siblings: {states} changes at once");
+        }
+        for change in &changes {
+            match change {
+                Change::State { .. } if states > NAMED => {}
+                Change::State { node, was, is, incarnation, why } => {
+                    let (was, is, why) = (was.word(), is.word(), words(why));
+                    info!(incarnation, "siblings: node {node} is {is}, was {was}: {why}");
+                }
+                Change::Paused { time } => {
+                    warn!(
+                        ms = time / 1_000,
+                        "siblings: this node was paused; it accuses nobody and asks again"
+                    )
+                }
+                Change::Began { incarnation, denied } => {
+                    info!(incarnation, denied, "siblings: this node begins a new incarnation");
+                }
+                Change::Confirmed(true) => info!("siblings: this node is confirmed"),
+                Change::Confirmed(false) => {
+                    warn!("siblings: too few confirm this node; it uses nothing shared until they do")
+                }
+                Change::Superseded => error!(
+                    "siblings: another process runs as node {}; this one gives way and uses nothing shared; end one of them",
+                    self.site.me
+                ),
+            }
+        }
+    }
+
+    /// What it sees, in words.
+    fn sight(&self) -> Sight {
+        let now = self.clock.now();
+        let [here, gone, unknown] = self.siblings.numbers();
+        let (part, counts) = (self.siblings.part(now), self.siblings.counts());
+        let fellow = |fellow: Fellow| self.fellow(now, fellow);
+        let way = |way: lilacquay_siblings::Way| WayNow { from: way.from, to: way.to, open: way.open };
+        Sight {
+            site: self.site.name.clone(),
+            me: self.site.me,
+            nodes: self.site.nodes.len(),
+            incarnation: self.siblings.incarnation(),
+            epoch: format!("{:08x}", self.siblings.epoch()),
+            confirmed: self.siblings.is_confirmed(now),
+            superseded: self.siblings.is_superseded(),
+            part: f64::from(part.at(now)) / 1e3,
+            doubt: self.siblings.doubt(),
+            pauses: counts.pauses,
+            here,
+            gone,
+            unknown,
+            sent: counts.sent,
+            sent_bytes: counts.sent_bytes,
+            read: counts.read,
+            unread: counts.unread,
+            strangers: counts.strangers,
+            unlisted: self.unlisted,
+            fellows: self.siblings.fellows(now).into_iter().map(fellow).collect(),
+            ways: self.siblings.ways(now).into_iter().map(way).collect(),
+        }
+    }
+
+    fn fellow(&self, now: Micros, fellow: Fellow) -> FellowNow {
+        let ago = |at: Micros| now.saturating_sub(at) as f64 / 1e6;
+        FellowNow {
+            node: fellow.node,
+            address: self.site.nodes[fellow.node].to_string(),
+            state: fellow.state.word().into(),
+            since_s: ago(fellow.since),
+            why: words(&fellow.why),
+            incarnation: fellow.incarnation,
+            heard_s: fellow.heard.map(|(at, _)| ago(at)),
+            heard_by: fellow.heard.map(|(_, by)| by),
+            we_hear: fellow.we_hear,
+            hears_us: fellow.hears_us,
+            suspected: fellow.suspected && fellow.state != State::Gone,
+        }
+    }
+}
+
+/// On what evidence.
+fn words(why: &Why) -> String {
+    match why {
+        Why::NeverHeard => "nothing was heard of it yet".into(),
+        Why::Heard { by } => format!("its word came through node {by}"),
+        Why::Newer { than, by } => {
+            format!("it began anew after incarnation {than}, by word through node {by}")
+        }
+        Why::Left => "it said that it leaves".into(),
+        Why::Expired { by } => format!("its lease has run out at nodes {by:?}"),
+        Why::Silent => "nothing new was heard of it for too long".into(),
+        Why::Unconfirmed => "it is not confirmed, by its own word".into(),
+        Why::Deaf => "it has not confirmed hearing this node".into(),
+    }
+}
+
+/// Unix time in microseconds, as the system has it now: it may be put forward or back.
+fn wall() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros
+}
+
+/// For whoever asks what the node sees, with the receiver's half.
+pub fn asks() -> (Arc<mpsc::Sender<oneshot::Sender<Sight>>>, Asks) {
+    let (to, asks) = mpsc::channel(16);
+    (Arc::new(to), asks)
+}
--- /dev/null
+++ b/crates/lilacquay/tests/siblings.rs
@@ -0,0 +1,228 @@
+//! Five processes of the program that are siblings, with faults between them: who is here, gone or not known, whose part is
+//! whose, and that the four rules hold throughout.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lilacquay_fleet::clients::{self, Load, Report};
+use lilacquay_fleet::trial::{Fault, Trial, TrialPlan, Way, drawn};
+use lilacquay_fleet::verdict::{Broken, check};
+use lilacquay_fleet::{Plan, clients::End};
+
+const NODES: usize = 5;
+const GRACE: u64 = 500_000;
+
+struct Site {
+    trial: Trial,
+    folder: tempfile::TempDir,
+}
+
+impl Site {
+    fn new(siblings: bool, seed: u64) -> Site {
+        let folder = tempfile::tempdir().unwrap();
+        let program = env!("CARGO_BIN_EXE_lilacquay").into();
+        let plan =
+            TrialPlan { program, nodes: NODES, siblings, seed, fleet: Plan { seed, ..Plan::default() } };
+        Site { trial: Trial::start(plan, folder.path()).unwrap(), folder }
+    }
+
+    /// One whose nodes all hold each other to be here.
+    fn whole(seed: u64) -> Site {
+        let site = Site::new(true, seed);
+        site.until("all are here", |trial| trial.whole(&all()));
+        site
+    }
+
+    fn until(&self, what: &str, holds: impl Fn(&Trial) -> bool) {
+        if !self.trial.until(holds) {
+            let file = self.folder.path().join("events.jsonl");
+            self.trial.write(&file).unwrap();
+            panic!("not {what}: {}", std::fs::read_to_string(file).unwrap());
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        self.trial.fault(&fault).unwrap();
+    }
+
+    /// What the nodes use together, of `NODES` whole parts.
+    fn parts(&self) -> f64 {
+        all().iter().map(|&node| self.part(node)).sum()
+    }
+
+    fn part(&self, node: usize) -> f64 {
+        self.trial.sight(node).map_or(0.0, |sight| sight["part"].as_f64().unwrap())
+    }
+
+    /// How often the log of a node says something.
+    fn said(&self, node: usize, words: &str) -> usize {
+        let noted = self.trial.noted();
+        noted.iter().filter(|noted| noted.node == Some(node) && noted.what.contains(words)).count()
+    }
+}
+
+fn all() -> Vec<usize> {
+    (0..NODES).collect()
+}
+
+fn others(node: usize) -> Vec<usize> {
+    all().into_iter().filter(|&other| other != node).collect()
+}
+
+#[test]
+fn a_killed_one_is_gone_to_all_and_comes_back_newer() {
+    let mut site = Site::whole(1);
+    site.fault(Fault::Kill(vec![2]));
+    let gone = |trial: &Trial| others(2).iter().all(|&at| trial.state(at, 2).as_deref() == Some("gone"));
+    site.until("2 is gone to all", gone);
+    site.until("its part is taken by the two beside it", |trial| {
+        let more = |&node: &usize| trial.sight(node).is_some_and(|sight| sight["part"] == 1.5);
+        others(2).iter().filter(|node| more(node)).count() == 2
+    });
+    site.fault(Fault::Start(vec![2]));
+    site.until("all are here again", |trial| trial.whole(&all()));
+    site.until("each has its own part", |trial| {
+        all().iter().all(|&node| trial.sight(node).is_some_and(|sight| sight["part"] == 1.0))
+    });
+    assert!(others(2).iter().all(|&at| site.said(at, "node 2 is gone, was") >= 1), "the log tells it");
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_lilacquay"))
+        .args(["siblings", "--state"])
+        .arg(site.folder.path().join("node-0/state"))
+        .output()
+        .unwrap();
+    let text = String::from_utf8(out.stdout).unwrap();
+    assert!(out.status.success() && text.contains("4 here, 0 gone, 0 unknown"), "{text}");
+}
+
+#[test]
+fn a_one_sided_cut_shows_as_one_and_ends_nobody() {
+    let mut site = Site::whole(2);
+    site.fault(Fault::Ways(vec![0], vec![1], Way::CUT));
+    let shut = |trial: &Trial| {
+        let sight = trial.sight(3).unwrap();
+        let ways = sight["ways"].as_array().unwrap().clone();
+        let shut: Vec<_> = ways.iter().filter(|way| way["open"] == false).collect();
+        shut.len() == 1 && shut[0]["from"] == 0 && shut[0]["to"] == 1
+    };
+    site.until("a third sees the one way that is cut", shut);
+    std::thread::sleep(Duration::from_secs(5)); // longer than a lease
+    assert!(all().iter().all(|&at| site.said(at, "is gone") == 0), "nobody is held to be gone");
+    assert!((site.parts() - NODES as f64).abs() < 1e-9);
+    site.fault(Fault::Ways(vec![0], vec![1], Way::GOOD));
+    site.until("all are here", |trial| trial.whole(&all()));
+}
+
+#[test]
+fn a_paused_one_accuses_nobody_and_is_back_when_it_wakes() {
+    let mut site = Site::whole(3);
+    site.fault(Fault::Pause(vec![4]));
+    site.until("4 is gone to all others", |trial| {
+        others(4).iter().all(|&at| trial.state(at, 4).as_deref() == Some("gone"))
+    });
+    site.fault(Fault::Resume(vec![4]));
+    site.until("all are here", |trial| trial.whole(&all()));
+    assert_eq!(site.said(4, "is gone"), 0, "whoever was paused accuses nobody");
+    assert!(site.said(4, "this node was paused") >= 1 && site.said(4, "begins a new incarnation") >= 1);
+    // All at once: nobody else can have seen it.
+    site.fault(Fault::Pause(all()));
+    std::thread::sleep(Duration::from_secs(4));
+    site.fault(Fault::Resume(all()));
+    site.until("all are here", |trial| trial.whole(&all()));
+    let expired = |&at: &usize| site.said(at, "its lease has run out");
+    assert_eq!(all().iter().filter(|&&at| at != 4).map(expired).max(), Some(1), "4's alone");
+}
+
+#[test]
+fn in_a_split_no_more_than_the_whole_is_used_and_it_heals() {
+    let mut site = Site::whole(4);
+    let (few, many) = (vec![0, 1], vec![2, 3, 4]);
+    site.fault(Fault::Ways(few.clone(), many.clone(), Way::CUT));
+    site.fault(Fault::Ways(many.clone(), few.clone(), Way::CUT));
+    // Those who are too few to be confirmed use nothing before the others take anything: asked in that order.
+    site.until("the few use nothing", |trial| {
+        few.iter().all(|&node| trial.sight(node).is_some_and(|sight| sight["part"] == 0.0))
+    });
+    site.until("the many hold the few to be gone", |trial| {
+        many.iter().all(|&at| few.iter().all(|&of| trial.state(at, of).as_deref() == Some("gone")))
+    });
+    assert!(site.parts() <= NODES as f64 + 1e-9);
+    for &at in &many {
+        assert!(
+            many.iter()
+                .filter(|&&of| of != at)
+                .all(|&of| site.trial.state(at, of).as_deref() == Some("here"))
+        );
+    }
+    site.fault(Fault::Ways(all(), all(), Way::GOOD));
+    site.until("all are here", |trial| trial.whole(&all()));
+}
+
+#[test]
+fn all_killed_in_one_instant_are_back_under_their_names() {
+    let mut site = Site::whole(5);
+    site.fault(Fault::Ways(
+        all(),
+        all(),
+        Way { loss: 0.2, doubled: 0.1, delay: Duration::from_millis(200), cut: false },
+    ));
+    for _ in 0..2 {
+        site.fault(Fault::Kill(all()));
+        site.fault(Fault::Start(all()));
+        site.until("all are here", |trial| trial.whole(&all()));
+    }
+}
+
+/// Under load at every node, with faults drawn from a seed: the four rules.
+#[test]
+fn the_four_rules_hold_while_siblings_pause_die_and_are_cut_off() {
+    let mut site = Site::whole(6);
+    let time = Duration::from_secs(12);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let clock = site.trial.fleet.clock().clone();
+    let load = |node: usize| {
+        let load = Load { kept: true, rate: 30.0, ..Load::usual(site.trial.listen(node), time, node as u64) };
+        runtime.spawn(clients::run(load, clock.clone(), Arc::default()))
+    };
+    let running: Vec<_> = all().into_iter().map(load).collect();
+    let script = drawn(6, NODES, time.mul_f64(0.8));
+    site.trial.play(&script).unwrap();
+    let reports: Vec<Report> =
+        running.into_iter().map(|running| runtime.block_on(running).unwrap()).collect();
+    let stopped = |node: usize| {
+        let hit = |(_, fault): &(Duration, Fault)| match fault {
+            Fault::Pause(nodes) | Fault::Kill(nodes) => nodes.contains(&node),
+            _ => false,
+        };
+        script.iter().any(hit)
+    };
+    let (records, dropped) = site.trial.fleet.records();
+    let doubled = reports.iter().map(|report| report.doubled).sum();
+    // What a process that is killed or stopped held, nobody can answer.
+    let whose = |(node, report): (usize, Report)| {
+        let held = stopped(node);
+        report.asks.into_iter().filter(move |ask| !(held && matches!(ask.end, End::Lost | End::Unanswered)))
+    };
+    let asks: Vec<_> = reports.into_iter().enumerate().flat_map(whose).collect();
+    let broken: Vec<Broken> = check((&records, dropped), &asks, doubled, GRACE);
+    let late = |broken: &Broken| matches!(broken, Broken::Late(..) | Broken::AfterDrain(..));
+    assert_eq!(broken.iter().find(|broken| !late(broken)), None);
+    site.until("all are here", |trial| trial.whole(&all()));
+    assert_eq!(site.trial.datagrams().2, 0, "none of more than 256 bytes");
+}
+
+#[test]
+fn without_siblings_not_a_byte_is_sent_and_none_are_told() {
+    let site = Site::new(false, 7);
+    std::thread::sleep(Duration::from_secs(1)); // two periods
+    assert_eq!(site.trial.datagrams(), (0, 0, 0));
+    assert_eq!(site.trial.sight(0), None);
+    let id = site.trial.process(0).unwrap();
+    let inodes = std::fs::read_to_string(format!("/proc/{id}/net/udp")).unwrap();
+    let own: Vec<String> = std::fs::read_dir(format!("/proc/{id}/fd"))
+        .unwrap()
+        .filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok()?.to_str().map(str::to_owned))
+        .filter_map(|link| Some(link.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned()))
+        .collect();
+    let udp = |inode: &String| inodes.split_whitespace().any(|word| word == inode);
+    assert!(!own.is_empty() && !own.iter().any(udp), "no such socket is open");
+}
--- a/crates/members/src/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -122,8 +122,9 @@
     to: Members,
     after: u64,
     connection: Option<Client>,
-    /// How long a watch waits for news.
-    wait: Duration,
+    /// How many nodes ask the same service, and whether it is one that is asked at all.
+    nodes: watch::Receiver<usize>,
+    asked: bool,
     /// Whether the whole list is wanted: nothing is known, or from another address. What has changed since a known
     /// version is less to send, and fails less where discovery is pressed.
     whole: bool,
@@ -142,12 +143,17 @@
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
 impl Watch {
-    /// A watch of one of so many nodes that knows a list of this version, if it knows one.
-    pub fn new(to: Members, after: Option<u64>, nodes: usize) -> Self {
+    /// A watch of one of so many nodes, which may change, that knows a list of this version, if it knows one.
+    pub fn new(to: Members, after: Option<u64>, nodes: watch::Receiver<usize>) -> Self {
         let held = to.asked().is_some();
-        let wait = if held { wait_among(nodes) } else { WAIT };
         let whole = after.is_none();
-        Watch { to, after: after.unwrap_or(0), wait, connection: None, whole, held, complained: false }
+        let (asked, after) = (held, after.unwrap_or(0));
+        Watch { to, after, nodes, asked, connection: None, whole, held, complained: false }
+    }
+
+    /// How long it waits for news: so that all nodes together ask no more than one service can answer.
+    fn wait(&self) -> Duration {
+        if self.asked { wait_among(*self.nodes.borrow()) } else { WAIT }
     }
 
     /// Fetches the whole list, then watches; goes on until the node ends. A failed call keeps the list. A
@@ -180,11 +186,12 @@
             None if self.held => sleep(PAUSE).await,
             _ => {}
         }
+        let wait = self.wait();
         let path = match self.whole {
             true => "/discovery/hosts".to_owned(),
-            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, self.wait.as_millis()),
+            false => format!("/discovery/hosts?after={}&wait_ms={}", self.after, wait.as_millis()),
         };
-        let limit = if self.whole { ANSWER } else { self.wait + ANSWER };
+        let limit = if self.whole { ANSWER } else { wait + ANSWER };
         let told = timeout(limit, self.fetch(at, &path)).await.unwrap_or_else(|late| Err(late.into()));
         self.held = told.is_err();
         match told {
--- a/crates/observe/src/snapshot.rs
+++ b/crates/observe/src/snapshot.rs
@@ -55,6 +55,22 @@
     pub tenants: Vec<TenantNow>,
     /// Shares of quotas.
     pub shares: Vec<ShareNow>,
+    /// The other nodes, where nodes speak to one another.
+    pub siblings: Option<SiblingsNow>,
+}
+
+/// The other nodes, as this one sees them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SiblingsNow {
+    /// Heard of lately, and confirmed.
+    pub here: usize,
+    /// Known to use nothing any more.
+    pub gone: usize,
+    /// Neither.
+    pub unknown: usize,
+    /// What this node may use of its equal part of what all share; 0 if it is not confirmed.
+    pub part: f64,
 }
 
 /// Final answers by kind.
--- a/crates/paddlefold/src/api.rs
+++ b/crates/paddlefold/src/api.rs
@@ -326,6 +326,14 @@
     ClientGone(RequestId),
     /// A timer is due.
     Timer(TimerToken),
+    /// How much of this node's part of what all nodes share it may use: 1 is all, 0 nothing. A node that is never told
+    /// has all. More than 1 counts as 1: what a fellow leaves comes with the requests that it had.
+    Part {
+        /// The part of its part.
+        part: f64,
+        /// It holds until then, and from then on there is none.
+        until: Micros,
+    },
 }
 
 /// What the embedder must do, in order.
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -59,6 +59,7 @@
     open: HashMap<RequestId, Open>,
     timings: Vec<Timing>, // response times by class; the last is for requests of no known class
     arrived: Rate,
+    part: (f64, Micros), // how much of our part is ours, and until when
     tenants: Vec<Rate>,
     unsized_list: bool,          // the list tells no sizes: all weigh the same
     zones: BTreeMap<u32, Reach>, // how the zones answer
@@ -89,6 +90,7 @@
             open: HashMap::new(),
             timings: aims.chain([usual]).map(|aim| Timing::guess(aim / 3.0)).collect(),
             arrived: Rate::new(now),
+            part: (1.0, Micros::MAX),
             tenants: settings.tenant_shares.iter().map(|_| Rate::new(now)).collect(),
             unsized_list: true,
             zones: BTreeMap::new(),
@@ -127,6 +129,7 @@
                 }
             }
             Event::ClientGone(id) => self.end(id, out),
+            Event::Part { part, until } => self.part = (part.clamp(0.0, 1.0), until),
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
         }
@@ -206,8 +209,7 @@
         r.wait = Wait::Nothing;
         let (write, stored, again) = (r.write, r.stored, !r.tries.is_empty() && r.stored.is_none());
         let (aside, most) = (self.settings.mode == Mode::Aside, self.settings.max_attempts);
-        let late = self.now + self.settings.quantum >= r.deadline;
-        if late || r.tries.len() >= most {
+        if self.now + self.settings.quantum >= r.deadline || r.tries.len() >= most {
             return self.finish(id, out);
         }
         if aside && (r.write || r.missed() && stored.is_none()) {
@@ -408,10 +410,11 @@
     /// Sends that a cold cache can take from us now. What arrives here for each cache is our part of their
     /// capacity; every node keeping to that part, the cold one is not pushed over.
     fn allowance(&self, s: &Server) -> f64 {
-        let share = self.arrived.per_second(self.now, self.tau()) / self.caches.max(1) as f64;
+        let part = if self.now < self.part.1 { self.part.0 } else { 0.0 };
+        let share = part * self.arrived.per_second(self.now, self.tau()) / self.caches.max(1) as f64;
         let rate = share * s.warmth(&self.settings, self.now) * self.settings.overload_factor * COLD_PART;
         let (saved, at) = s.allowance;
-        let burst = (rate * self.settings.fall as f64 / 4e6).max(1.0);
+        let burst = (rate * self.settings.fall as f64 / 4e6).max(part.ceil()); // without a part none
         if self.cold(s) { (saved + rate * (self.now - at) as f64 / 1e6).min(burst) } else { f64::INFINITY }
     }
 
@@ -426,8 +429,7 @@
         let all = self.arrived.add(now, tau);
         let worth = request.class.and_then(|c| self.settings.classes.get(c)).map_or(1.0, |c| c.worth);
         let Some(tenant) = request.tenant.filter(|&t| t < self.tenants.len()) else { return worth };
-        let share = self.tenants[tenant].add(now, tau) / all;
-        let over = share > 1.25 * self.settings.tenant_shares[tenant];
+        let over = self.tenants[tenant].add(now, tau) / all > 1.25 * self.settings.tenant_shares[tenant];
         worth * if over { self.settings.over_share_worth } else { 1.0 }
     }
 
--- a/crates/paddlefold/src/cost.rs
+++ b/crates/paddlefold/src/cost.rs
@@ -144,8 +144,7 @@
 
     /// What a fetch costs a read, as a part of its worth.
     fn fetch_loss(&self, r: &Open) -> f64 {
-        let origin = self.origin.and_then(|id| self.servers.get(&id));
-        let way = origin.map_or(0.0, |origin| self.crossing(origin));
+        let way = self.origin.and_then(|id| self.servers.get(&id)).map_or(0.0, |s| self.crossing(s));
         self.gates[ORIGIN].timing.mean / (r.aim as f64).max(1.0) + way
     }
 
--- a/crates/paddlefold/src/setup.rs
+++ b/crates/paddlefold/src/setup.rs
@@ -29,6 +29,8 @@
     #[serde(default)]
     prices: Prices,
     #[serde(default)]
+    me: Option<usize>,
+    #[serde(default)]
     zone: Option<String>,
     #[serde(default)]
     registry_mode: String,
@@ -99,6 +101,7 @@
     keepalive: Option<f64>,
     max_attempts: Option<usize>,
     max_retry_after: f64,
+    peers: bool,
     retry_after: bool,
     second_copies: bool,
 }
@@ -153,6 +156,10 @@
     pub connect_timeout: Micros,
     /// The longest that a client of any class waits.
     pub longest_deadline: Micros,
+    /// This node's number among all, if the settings tell it.
+    pub me: Option<usize>,
+    /// Whether nodes may speak to one another.
+    pub peers: bool,
     /// What classes and tenants are called.
     pub names: Arc<Names>,
     zones: HashMap<String, u32>,
@@ -210,6 +217,8 @@
             settings,
             connect_timeout: limits.connect_timeout.map_or(CONNECT_TIMEOUT, micros),
             longest_deadline: hard_limits.max().unwrap_or(0),
+            me: setup.me,
+            peers: limits.peers,
             names: Arc::new(Names {
                 classes: index(setup.classes.into_iter().map(|c| c.name).collect()),
                 tenants: index(setup.tenants.into_iter().map(|t| t.name).collect()),
