Ask a silent fellow again before all others, and measure siblings in virtual time

Cause: at 20 % loss a node sent 3.6 to 5.8 KB a second, since two lost datagrams in a row set off word to all. Change: a silent fellow is asked again first, others are called only after three periods, answers to one node come 100 ms apart at the least; the virtual world is a part of the package, so that target/release/siblings measures with it.

--- /dev/null
+++ b/crates/bench/src/bin/siblings.rs
@@ -0,0 +1,238 @@
+//! How soon siblings know of a death, of a return and of a healed cut, by number and loss, beside plain heartbeats of the
+//! same bytes; false alarms in an hour; bytes. In virtual time, so that the machine has no part in it; last, the same on
+//! processes of the program.
+//!
+//! `target/release/siblings [virtual | hour | processes NODES PROGRAM]`
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use lilacquay_bench::raise_descriptors;
+use lilacquay_fleet::Plan;
+use lilacquay_fleet::trial::{Fault, Trial, TrialPlan, Way};
+use lilacquay_siblings::world::{Link, MS, S, World};
+use lilacquay_siblings::{Change, Micros, State, Why};
+
+/// Deaths, or cuts, of each row.
+const ROUNDS: usize = 12;
+/// Whoever doesn't know by then counts as if it knew then.
+const LONGEST: Micros = 60 * S;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] | ["virtual"] => in_virtual_time(),
+        ["hour"] => an_hour(),
+        ["processes", nodes, program] => match nodes.parse() {
+            Ok(nodes) => return on_processes(nodes, Path::new(program)),
+            Err(_) => return usage(),
+        },
+        _ => return usage(),
+    }
+    ExitCode::SUCCESS
+}
+
+fn usage() -> ExitCode {
+    eprintln!("siblings [virtual | hour | processes NODES PROGRAM]");
+    ExitCode::FAILURE
+}
+
+struct Times(Histogram<u64>);
+
+impl Times {
+    fn new() -> Times {
+        Times(Histogram::new(3).expect("a sound precision"))
+    }
+
+    fn note(&mut self, time: Micros) {
+        let _ = self.0.record(time.min(LONGEST) / MS); // up to a minute always fits
+    }
+
+    fn told(&self) -> String {
+        let s = |quantile: f64| self.0.value_at_quantile(quantile) as f64 / 1e3;
+        format!("{:5.2} {:5.2} {:5.2}", s(0.5), s(0.99), s(0.999))
+    }
+}
+
+fn link(loss: u32) -> Link {
+    Link { loss, delay: (MS, 20 * MS), ..Link::default() }
+}
+
+fn in_virtual_time() {
+    println!("seconds as median, p99 and p99.9 over all nodes that are to know; {ROUNDS} rounds a row");
+    println!(
+        "nodes loss   a death known      a return known     a split healed     bytes/s  heartbeats: death known"
+    );
+    for nodes in [10, 30, 100, 300, 1000] {
+        for loss in [0, 100, 200] {
+            let mut world = World::new(nodes, nodes as u64 + u64::from(loss));
+            (world.checks, world.usual) = (false, link(loss));
+            world.start_all(S);
+            world.run(20 * S);
+            let before: u64 = world.nodes.iter().map(|node| node.sent_bytes).sum();
+            world.run(10 * S);
+            let sent: u64 = world.nodes.iter().map(|node| node.sent_bytes).sum();
+            let bytes = (sent - before) / 10 / nodes as u64;
+            let (mut known, mut back) = (Times::new(), Times::new());
+            for _ in 0..ROUNDS {
+                let node = world.rng.usize(..nodes);
+                let phase = world.rng.u64(..S);
+                world.run(phase);
+                world.kill(node);
+                learned(&mut world, node, State::Gone, 12 * S, &mut known);
+                let now = world.now;
+                world.start_at(node, now);
+                learned(&mut world, node, State::Here, 8 * S, &mut back);
+            }
+            let mut healed = Times::new();
+            let rounds = if nodes > 300 { 1 } else { 3 };
+            for _ in 0..rounds {
+                let odd: Vec<bool> = (0..nodes).map(|_| world.rng.bool()).collect();
+                world.split(|node| odd[node], true);
+                world.run(20 * S);
+                world.split(|node| odd[node], false);
+                // Ways of their own were cut; all are as usual now.
+                world.forget_links();
+                let start = world.now;
+                while !world.whole() && world.now < start + LONGEST {
+                    world.run(200 * MS);
+                }
+                healed.note(world.now - start);
+            }
+            let plain = heartbeats(nodes, loss, bytes.max(400), &mut world.rng);
+            println!(
+                "{nodes:5} {:3} %  {}  {}  {}  {bytes:6}  {}",
+                loss / 10,
+                known.told(),
+                back.told(),
+                healed.told(),
+                plain.told()
+            );
+        }
+    }
+}
+
+/// Notes when each of the others comes to hold one to be something, within a time that passes.
+fn learned(world: &mut World, node: usize, what: State, within: Micros, times: &mut Times) {
+    let start = world.now;
+    world.changes.clear();
+    world.run(within);
+    let mut at: Vec<Option<Micros>> = vec![None; world.nodes.len()];
+    for (time, by, change) in &world.changes {
+        if let Change::State { node: of, is, .. } = change
+            && (*of, *is) == (node, what)
+        {
+            at[*by].get_or_insert(*time);
+        }
+    }
+    for by in (0..at.len()).filter(|&by| by != node) {
+        times.note(at[by].map_or(LONGEST, |at| at - start));
+    }
+}
+
+/// Plain heartbeats: each node tells each other that it lives, as often as the same bytes allow, and is held to be dead
+/// when nothing came for as many of them as makes a false alarm as rare as one a day and pair.
+fn heartbeats(nodes: usize, loss: u32, bytes: u64, rng: &mut fastrand::Rng) -> Times {
+    // A datagram of 40 bytes: the same header, and who it is.
+    let period = (nodes as u64 - 1) * 40 * S / bytes.max(1);
+    let mut missed = 1;
+    let rare = period as f64 / (86_400.0 * S as f64);
+    while loss > 0 && (f64::from(loss) / 1_000.0).powi(missed) > rare && missed < 100 {
+        missed += 1;
+    }
+    let mut times = Times::new();
+    for _ in 0..ROUNDS * nodes {
+        times.note((missed as u64 + 1) * period - rng.u64(..period.max(1)));
+    }
+    times
+}
+
+/// An hour at 300 nodes with 20 % loss, each paused for a second once a minute.
+fn an_hour() {
+    let nodes = 300;
+    let mut world = World::new(nodes, 60);
+    (world.checks, world.usual) = (false, link(200));
+    world.start_all(S);
+    world.run(30 * S);
+    world.changes.clear();
+    let (mut gone, mut unconfirmed, mut unknown) = (0, 0, 0);
+    for second in 0..3_600_usize {
+        let some: Vec<usize> = (0..nodes).filter(|node| node % 60 == second % 60).collect();
+        some.iter().for_each(|&node| world.pause(node));
+        world.run(S);
+        some.iter().for_each(|&node| world.resume(node));
+        for (_, _, change) in world.changes.drain(..) {
+            match change {
+                Change::State { is: State::Gone, why: Why::Expired { .. }, .. } => gone += 1,
+                Change::State { is: State::Unknown, .. } => unknown += 1,
+                Change::Confirmed(false) => unconfirmed += 1,
+                _ => {}
+            }
+        }
+    }
+    println!(
+        "an hour, {nodes} nodes, 20 % loss, a pause of 1 s each minute: held to be gone though alive {gone} times,"
+    );
+    println!(
+        "not known for a while {unknown} times of {} pairs, a node unconfirmed for a while {unconfirmed} times",
+        nodes * (nodes - 1)
+    );
+}
+
+fn on_processes(nodes: usize, program: &Path) -> ExitCode {
+    match processes(nodes, program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("siblings: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn processes(nodes: usize, program: &Path) -> std::io::Result<()> {
+    raise_descriptors()?;
+    let folder = tempfile::tempdir()?;
+    let plan = TrialPlan { program: program.into(), nodes, siblings: true, seed: 1, fleet: Plan::default() };
+    let start = Instant::now();
+    let mut trial = Trial::start(plan, folder.path())?;
+    let all: Vec<usize> = (0..nodes).collect();
+    let took = |what: &str, start: Instant, came: bool| {
+        let came = if came { "" } else { "  NOT WITHIN A MINUTE" };
+        println!("{nodes} processes: {what} {:.2} s{came}", start.elapsed().as_secs_f64());
+    };
+    let came = trial.until(|trial| trial.whole(&all));
+    took("all started and here", start, came);
+    let before = trial.datagrams();
+    std::thread::sleep(Duration::from_secs(10));
+    let bytes = (trial.datagrams().1 - before.1) / 10 / nodes as u64;
+    println!("{nodes} processes: {bytes} bytes a second and node at rest, as the relay counts them");
+    let (dead, others): (usize, Vec<usize>) =
+        (nodes / 2, all.iter().copied().filter(|&n| n != nodes / 2).collect());
+    let start = Instant::now();
+    trial.fault(&Fault::Kill(vec![dead]))?;
+    let gone = |trial: &Trial| others.iter().all(|&at| trial.state(at, dead).as_deref() == Some("gone"));
+    let came = trial.until(gone);
+    took("a death known to all", start, came);
+    let start = Instant::now();
+    trial.fault(&Fault::Start(vec![dead]))?;
+    let came = trial.until(|trial| trial.whole(&all));
+    took("its return known to all", start, came);
+    let some: Vec<usize> = all.iter().copied().filter(|n| n % 10 < 7).collect();
+    let start = Instant::now();
+    trial.fault(&Fault::Kill(some.clone()))?;
+    trial.fault(&Fault::Start(some))?;
+    let came = trial.until(|trial| trial.whole(&all));
+    took("7 in 10 killed in an instant, back, and known to all", start, came);
+    let (left, right) = all.split_at(nodes / 2);
+    for (from, to) in [(left, right), (right, left)] {
+        trial.fault(&Fault::Ways(from.to_vec(), to.to_vec(), Way::CUT))?;
+    }
+    std::thread::sleep(Duration::from_secs(20));
+    let start = Instant::now();
+    trial.fault(&Fault::Ways(all.clone(), all.clone(), Way::GOOD))?;
+    let came = trial.until(|trial| trial.whole(&all));
+    took("half and half for 20 s, healed after", start, came);
+    Ok(())
+}
--- a/crates/siblings/src/lib.rs
+++ b/crates/siblings/src/lib.rs
@@ -18,6 +18,7 @@
 mod terms;
 mod view;
 mod watch;
+pub mod world;
 
 pub use part::{Part, WHOLE};
 pub use ring::Ring;
--- a/crates/siblings/src/own.rs
+++ b/crates/siblings/src/own.rs
@@ -154,9 +154,19 @@
 
     /// Whether there are fewer good words than it takes, and one to spare.
     pub fn in_need(&self, now: Micros) -> bool {
-        let good = |witness: &&Witness| now + self.lease / 2 < self.holds_until(witness);
         let spare = usize::from(self.needed < self.watchers);
-        self.needed > 0 && self.witnesses.iter().filter(good).count() < self.needed + spare
+        self.needed > 0 && self.good(now) < self.needed + spare
+    }
+
+    /// Whether there are fewer good words than it takes: it has the rest of its lease to get them.
+    pub fn lacks(&self, now: Micros) -> bool {
+        self.good(now) < self.needed
+    }
+
+    /// How many words hold for a while yet.
+    fn good(&self, now: Micros) -> usize {
+        let good = |witness: &&Witness| now + self.lease / 3 < self.holds_until(witness);
+        self.witnesses.iter().filter(good).count()
     }
 
     /// Whether a new incarnation is to begin now: a watcher holds the present one to be gone, or has begun anew so that
@@ -194,3 +204,49 @@
         self.confirmed_since = None;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+
+    /// Says a beat, and has this watcher confirm it.
+    fn confirmed(own: &mut Own, watcher: usize, now: Micros) {
+        own.beats(now);
+        let (incarnation, beat) = (own.incarnation() as u32, own.beat() as u16);
+        own.heard_by(watcher, Heard { incarnation, beat, direct: true, expired: false });
+    }
+
+    /// It may have held this incarnation to be gone in its life before, and has forgotten that.
+    #[test]
+    fn a_watcher_that_begins_anew_confirms_only_what_began_after_it() {
+        let (ring, terms) = (Ring::new(3), Terms::default());
+        let mut own = Own::new(&ring, &terms, 0, 0, 7);
+        own.met(0, 100 * MS);
+        confirmed(&mut own, 0, 200 * MS);
+        assert_eq!(own.confirmed_until(), 200 * MS + terms.lease);
+        let later = terms.lease + 500 * MS;
+        own.met(0, later);
+        confirmed(&mut own, 0, later);
+        assert!(own.confirmed_until() <= later, "its word doesn't count");
+        assert!(own.should_begin(later + 10 * MS));
+        own.begin(later + 10 * MS, 0);
+        confirmed(&mut own, 0, later + 20 * MS);
+        assert_eq!(own.confirmed_until(), later + 20 * MS + terms.lease);
+    }
+
+    #[test]
+    fn word_of_an_incarnation_before_or_of_a_beat_never_sent_confirms_nothing() {
+        let (ring, terms) = (Ring::new(3), Terms::default());
+        let mut own = Own::new(&ring, &terms, 0, 0, 7);
+        own.met(0, 0);
+        let before = own.incarnation() as u32;
+        own.beats(10 * MS);
+        own.begin(20 * MS, 0);
+        let said = |incarnation, beat| Heard { incarnation, beat, direct: true, expired: false };
+        own.heard_by(0, said(before, 1));
+        own.heard_by(0, said(own.incarnation() as u32, 9));
+        assert_eq!(own.confirmed_until(), 0);
+    }
+}
--- a/crates/siblings/src/siblings.rs
+++ b/crates/siblings/src/siblings.rs
@@ -31,6 +31,8 @@
 const ESTABLISHED: Micros = 5_000_000;
 /// Changes that nobody has fetched yet, at most.
 const CHANGES: usize = 4096;
+/// A row that is so many beats older than the newest is of another life.
+const LATE_BEATS: u32 = 64;
 /// A node that doubts itself waits longer, by a thousandth part so often for each point, up to so many points.
 const DOUBT: u64 = 125;
 const MOST_DOUBT: u64 = 8;
@@ -177,6 +179,8 @@
     /// When a datagram of each node itself came last, and when each was last sought because others miss it.
     direct: Vec<Option<Micros>>,
     sought: Vec<Option<Micros>>,
+    /// When each was last answered at once.
+    answered: Vec<Option<Micros>>,
     paused: bool,
     doubt: u64,
     leaving: bool,
@@ -209,6 +213,7 @@
             differs: vec![true; watched_count],
             direct: vec![None; setup.nodes],
             sought: vec![None; setup.nodes],
+            answered: vec![None; setup.nodes],
             paused: false,
             doubt: 0,
             leaving: false,
@@ -257,7 +262,12 @@
         }
         self.direct[from] = Some(now);
         let met = self.view.get(from).is_none_or(|known| known.row.incarnation < first.incarnation);
-        let behind = self.view.get(from).is_some_and(|known| known.row.incarnation > first.incarnation);
+        // Also where a life before had the same number by chance: no datagram comes so late.
+        let behind = self.view.get(from).is_some_and(|known| {
+            let same = known.row.incarnation == first.incarnation;
+            known.row.incarnation > first.incarnation
+                || same && known.row.beat > first.beat.saturating_add(LATE_BEATS)
+        });
         let mut cries = false;
         for (n, row) in said.rows.iter().enumerate() {
             cries |= self.take(now, *row, from, n == 0);
@@ -284,7 +294,14 @@
         self.answer_wants(now, from, &said.wants, &mut out);
         self.answer_digests(now, from, said.digests, &mut out);
         let lacks = !first.standing.confirmed || first.standing.calling;
-        if behind || met || lacks || self.in_need(now) {
+        // Guards against: two that both lack word and answer one another's answers without end.
+        let lately = self.answered[from].is_some_and(|at| now < at + self.setup.terms.period / 5);
+        let missed = self.watched.iter().position(|&watched| watched == from).is_some_and(|at| {
+            // It has heard nothing of us for longer than it should: what was sent is lost.
+            self.own.acked(at).is_none_or(|sent| now > sent + self.setup.terms.period * 5 / 4)
+        });
+        if behind || met || !lately && (missed || lacks || self.in_need(now)) {
+            self.answered[from] = Some(now);
             self.at_once(now, from, behind, &mut out);
         }
         out
@@ -357,6 +374,11 @@
         self.own_row(now);
         for at in 0..self.watched.len() {
             self.send(now, self.watched[at], false, &mut out);
+            // Asked again before anybody else is: what was lost is lost on one way more often than on all.
+            let (watch, wait) = (&self.watches[at], self.setup.terms.period * 5 / 4);
+            if !watch.is_expired() && watch.silent_for(now, wait) {
+                self.at_once(now, self.watched[at], false, &mut out);
+            }
         }
         for _ in 0..FAR {
             if let Some(far) = self.somebody_far(now) {
@@ -639,6 +661,7 @@
         self.view.judge(&self.ring, node);
         self.tell_state(now, node);
         taken == Taken::News
+            && (row.standing.calling || row.standing.leaving || row.heard.iter().any(|h| h.expired))
     }
 
     /// Speaks to those that others miss: there may be a way from here, and no other.
@@ -706,11 +729,11 @@
         let terms = &self.setup.terms;
         let missed = |watch: &Watch| {
             !watch.is_expired()
-                && (watch.silent_for(now, 2 * terms.period)
+                && (watch.silent_for(now, 3 * terms.period)
                     || watch.is_heard() && !watch.is_direct(now, terms))
         };
         // One that has just begun is about to be confirmed.
-        self.own.in_need(now) && self.own.has_run(now, terms.period) || self.watches.iter().any(missed)
+        self.own.lacks(now) && self.own.has_run(now, terms.period) || self.watches.iter().any(missed)
     }
 
     /// Points of doubt: many silent at once, or a pause of its own, tell more of this node than of the others.
--- a/crates/siblings/tests/world/mod.rs
+++ b/crates/siblings/src/world.rs
@@ -1,16 +1,19 @@
-//! Many nodes in virtual time: ways that lose, delay, double and end, processes that pause, die and start again.
+//! Many nodes in virtual time, for tests and measurements: ways that lose, delay, double and end, processes that pause, die
+//! and start again. The same seed plays the same.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use lilacquay_siblings::{Change, Micros, Setup, Siblings, State, Terms, WHOLE};
+use crate::{Change, Micros, Out, Setup, Siblings, State, Terms, WHOLE};
 
+/// A millisecond.
 pub const MS: Micros = 1_000;
+/// A second.
 pub const S: Micros = 1_000_000;
 /// Unix time at the start, in microseconds.
 const WALL: Micros = 1_700_000_000 * S;
 
 /// One way, from one node to another.
-#[derive(Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub struct Link {
     /// Datagrams lost, in a thousand.
     pub loss: u32,
@@ -18,6 +21,7 @@
     pub double: u32,
     /// Shortest and longest time on the way.
     pub delay: (Micros, Micros),
+    /// Nothing comes.
     pub cut: bool,
 }
 
@@ -32,7 +36,9 @@
     Comes { from: usize, to: usize, datagram: Vec<u8> },
 }
 
+/// A process, or the place of one.
 pub struct Node {
+    /// While it runs.
     pub siblings: Option<Siblings>,
     /// How often it was started.
     life: u32,
@@ -42,13 +48,19 @@
     pub wall_off: i64,
     /// Stopped: what comes waits in its socket.
     paused: Option<Vec<(usize, Vec<u8>)>>,
+    /// All that it has sent, over all its lives.
     pub sent_bytes: u64,
 }
 
+/// All nodes, and the ways between them.
 pub struct World {
+    /// The true time.
     pub now: Micros,
+    /// By number.
     pub nodes: Vec<Node>,
+    /// For all choices.
     pub rng: fastrand::Rng,
+    /// The ways that are not named otherwise.
     pub usual: Link,
     links: BTreeMap<(usize, usize), Link>,
     queue: BTreeMap<(Micros, u64), Happens>,
@@ -61,6 +73,7 @@
 }
 
 impl World {
+    /// So many that have not started yet.
     pub fn new(nodes: usize, seed: u64) -> World {
         let mut rng = fastrand::Rng::with_seed(seed);
         let node = |rng: &mut fastrand::Rng| Node {
@@ -86,7 +99,7 @@
         }
     }
 
-    /// All start within a time.
+    /// All start within a time, which passes.
     pub fn start_all(&mut self, within: Micros) {
         for node in 0..self.nodes.len() {
             let at = self.now + self.rng.u64(0..=within);
@@ -109,21 +122,25 @@
         self.queue.insert((at, self.number), what);
     }
 
+    /// A node starts, with nothing known.
     pub fn start_at(&mut self, node: usize, at: Micros) {
         self.nodes[node].life += 1;
         let life = self.nodes[node].life;
         self.at(at, Happens::Tick { node, life });
     }
 
+    /// A node dies, in one instant.
     pub fn kill(&mut self, node: usize) {
         (self.nodes[node].siblings, self.nodes[node].paused) = (None, None);
         self.nodes[node].life += 1;
     }
 
+    /// A node stops; what comes for it waits.
     pub fn pause(&mut self, node: usize) {
         self.nodes[node].paused.get_or_insert_default();
     }
 
+    /// A node goes on, with what it believes and all that waited.
     pub fn resume(&mut self, node: usize) {
         let Some(waiting) = self.nodes[node].paused.take() else { return };
         for (from, datagram) in waiting {
@@ -134,15 +151,22 @@
         self.at(now, Happens::Tick { node, life });
     }
 
+    /// A way of its own.
     pub fn link(&mut self, from: usize, to: usize) -> &mut Link {
         let usual = self.usual;
         self.links.entry((from, to)).or_insert(usual)
     }
 
+    /// One way, in one direction, is cut or whole.
     pub fn cut(&mut self, from: usize, to: usize, cut: bool) {
         self.link(from, to).cut = cut;
     }
 
+    /// All ways are as usual again.
+    pub fn forget_links(&mut self) {
+        self.links.clear();
+    }
+
     /// All ways between two groups, both ways, are cut or whole.
     pub fn split(&mut self, group: impl Fn(usize) -> bool, cut: bool) {
         for from in 0..self.nodes.len() {
@@ -154,6 +178,7 @@
         }
     }
 
+    /// Time passes.
     pub fn run(&mut self, time: Micros) {
         let end = self.now + time;
         while let Some((&(at, number), _)) = self.queue.first_key_value().filter(|((at, _), _)| *at <= end) {
@@ -200,7 +225,7 @@
         self.gather(to, out);
     }
 
-    fn gather(&mut self, node: usize, out: Vec<lilacquay_siblings::Out>) {
+    fn gather(&mut self, node: usize, out: Vec<Out>) {
         for change in self.nodes[node].siblings.as_mut().map(Siblings::changes).unwrap_or_default() {
             self.changes.push((self.now, node, change));
         }
@@ -218,14 +243,17 @@
         }
     }
 
+    /// A node that runs.
     pub fn siblings(&self, node: usize) -> &Siblings {
         self.nodes[node].siblings.as_ref().expect("it runs")
     }
 
+    /// Whether a node runs, paused or not.
     pub fn runs(&self, node: usize) -> bool {
         self.nodes[node].siblings.is_some()
     }
 
+    /// What one is, as another sees it.
     pub fn state(&self, of: usize, at: usize) -> State {
         self.siblings(at).state(self.clock(at), of).0
     }
@@ -282,7 +310,7 @@
                 (0..self.nodes.len())
                     .filter(|&n| self.runs(n))
                     .map(|n| self.siblings(n).epoch())
-                    .collect::<std::collections::BTreeSet<_>>()
+                    .collect::<BTreeSet<_>>()
             )
     }
 
--- a/crates/siblings/tests/model.rs
+++ b/crates/siblings/tests/model.rs
@@ -23,6 +23,8 @@
     held: Vec<(usize, usize, Vec<u8>)>,
     /// What may still happen.
     left: u8,
+    /// Processes started so far: each has a seed of its own, as each real one.
+    starts: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -44,7 +46,8 @@
 
 impl World {
     fn start(&mut self, node: usize) {
-        let setup = Setup { me: node, nodes: NODES, site: 1, seed: 1, terms: TERMS };
+        self.starts += 1;
+        let setup = Setup { me: node, nodes: NODES, site: 1, seed: self.starts, terms: TERMS };
         // Its clock went back: each start is at the same time by the wall.
         self.nodes[node] = Some(Siblings::new(setup, self.now, WALL));
     }
@@ -117,6 +120,7 @@
             cut: Default::default(),
             held: Vec::new(),
             left: self.faults,
+            starts: 0,
         };
         (0..NODES).for_each(|node| world.start(node));
         (0..6).for_each(|_| world.pass(None));
--- a/crates/siblings/tests/virtual_time.rs
+++ b/crates/siblings/tests/virtual_time.rs
@@ -1,9 +1,7 @@
 //! Siblings in virtual time: who is known to be what, within which bounds, through whatever happens on the ways.
 
-mod world;
-
+use lilacquay_siblings::world::{Link, MS, S, World};
 use lilacquay_siblings::{Change, State, Terms, WHOLE, Why};
-use world::{Link, MS, S, World};
 
 /// A death is known to all of so many within this, and a start.
 const KNOWN: u64 = 10 * S;
@@ -329,3 +327,42 @@
         world.until(30 * S, World::whole);
     }
 }
+
+/// Whatever a datagram says that is well made, no node is brought down by it, and none sends without end.
+#[test]
+fn nothing_that_can_be_said_brings_a_node_down() {
+    use lilacquay_codec::siblings::{Heard, Row, Said, Standing, put};
+    let mut rng = fastrand::Rng::with_seed(12);
+    for nodes in [2, 3, 5, 40] {
+        let mut world = settled(nodes, 12);
+        let (mut now, mut sent) = (world.clock(0), 0);
+        let node = world.nodes[0].siblings.as_mut().unwrap();
+        for _ in 0..20_000 {
+            let number = |rng: &mut fastrand::Rng| [0, 1, u32::MAX, rng.u32(..)][rng.usize(..4)];
+            let mut row = Row { origin: rng.u16(..50), watches: rng.u8(..5), ..Row::default() };
+            row.incarnation = [0, 1, u64::from(number(&mut rng)) << 14, (1 << 48) - 1][rng.usize(..4)];
+            row.beat = number(&mut rng);
+            row.standing =
+                Standing { confirmed: rng.bool(), leaving: rng.bool(), calling: rng.bool(), paused: false };
+            row.heard = row.heard.map(|_| Heard {
+                incarnation: number(&mut rng),
+                beat: rng.u16(..),
+                direct: rng.bool(),
+                expired: rng.bool(),
+            });
+            let from = rng.usize(1..nodes);
+            let first = Row { origin: from as u16, ..row };
+            let mut said = Said { epoch: number(&mut rng), rows: vec![first], ..Said::default() };
+            said.add(Row { origin: rng.u16(..50), ..row }, 256);
+            said.wants = (0..rng.usize(..9)).map(|_| rng.u16(..60)).collect();
+            said.digests = rng.bool().then(|| std::array::from_fn(|_| rng.u16(..)));
+            now += rng.u64(..2 * MS);
+            sent += node.heard(now, 0, from, &put(7, &said)).len();
+            if rng.u8(..50) == 0 {
+                node.tick(now, 0);
+            }
+            assert!(node.part(now).at(now) <= 2 * WHOLE);
+        }
+        assert!(sent < 20 + 20_000 / 50, "{nodes}: {sent} beyond the turn in 20 s");
+    }
+}
