--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -1,7 +1,7 @@
 //! Lays a model out on a screen. It works at 80 by 24, and does what it can on less.
 
 use lilacquay_control::Verb;
-use lilacquay_observe::{Answers, BUCKETS, BoxNow, Second, SlowNow, Snapshot, bucket_limit};
+use lilacquay_observe::{Answers, BUCKETS, BoxNow, Second, SiblingsNow, SlowNow, Snapshot, bucket_limit};
 use ratatui::Frame;
 use ratatui::layout::{Constraint, Layout, Rect};
 use ratatui::style::{Color, Modifier, Style};
@@ -200,8 +200,9 @@
                 },
             ),
         ]),
-        Line::raw(""),
     ];
+    text.extend(siblings_line(now, look));
+    text.push(Line::raw(""));
     let odd =
         now.boxes.iter().filter(|server| !server.serves || server.left_out.is_some() || server.warmth < 1.0);
     text.extend(odd.map(|server| {
@@ -242,6 +243,18 @@
     Line::from(vec![Span::styled(format!("{:<10}", "list"), look.head()), Span::styled(told, style)])
 }
 
+/// The other nodes; nothing where there are none.
+fn siblings_line(now: &Snapshot, look: Look) -> Option<Line<'static>> {
+    let SiblingsNow { here, gone, unknown, part } = now.siblings?;
+    let style = if part == 0.0 || gone + unknown > 0 { look.warn() } else { Style::new() };
+    let part = if part == 0.0 { "NOT CONFIRMED".to_owned() } else { format!("{part:.2} of its part") };
+    let told = format!("{here} here, {gone} gone, {unknown} unknown; {part}");
+    Some(Line::from(vec![
+        Span::styled(format!("{:<10}", "siblings"), look.head()),
+        Span::styled(told, style),
+    ]))
+}
+
 fn mean(values: impl Iterator<Item = u64>) -> f64 {
     let (sum, count) =
         values.fold((0_u64, 0_u32), |(sum, count), value| (sum.saturating_add(value), count + 1));
--- a/crates/lilacquay/src/options.rs
+++ b/crates/lilacquay/src/options.rs
@@ -189,6 +189,8 @@
         assert!(options.sockets.is_some() && options.memory_mb.is_some());
         assert!(options.admin.is_some() && !options.prometheus);
         assert!(options.siblings.is_some_and(|site| site.nodes.len() == 3 && site.me == 0));
+        let example = Options::read(&file.with_file_name("siblings.toml")).unwrap();
+        assert!(example.siblings.is_some_and(|site| site.nodes.len() == 3));
     }
 
     #[test]
--- a/crates/lilacquay/tests/siblings.rs
+++ b/crates/lilacquay/tests/siblings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lilacquay_fleet::clients::{self, Load, Report};
-use lilacquay_fleet::trial::{Fault, Trial, TrialPlan, Way, drawn};
+use lilacquay_fleet::trial::{Fault, Noted, Trial, TrialPlan, Way, accused, drawn};
 use lilacquay_fleet::verdict::{Broken, check};
 use lilacquay_fleet::{Plan, clients::End};
 
@@ -208,6 +208,55 @@
     assert_eq!(broken.iter().find(|broken| !late(broken)), None);
     site.until("all are here", |trial| trial.whole(&all()));
     assert_eq!(site.trial.datagrams().2, 0, "none of more than 256 bytes");
+    // As whoever has only the file of the trial reads it.
+    let file = site.folder.path().join("events.jsonl");
+    site.trial.write(&file).unwrap();
+    let text = std::fs::read_to_string(file).unwrap();
+    let noted: Vec<Noted> = text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert_eq!(accused(&noted, Duration::from_secs(12)), Vec::<String>::new());
+}
+
+#[test]
+fn word_goes_round_a_ring_of_one_sided_ways_and_through_the_only_friend() {
+    let mut site = Site::whole(8);
+    for from in all() {
+        let cut = others(from).into_iter().filter(|&to| to != (from + 1) % NODES).collect();
+        site.fault(Fault::Ways(vec![from], cut, Way::CUT));
+    }
+    std::thread::sleep(Duration::from_secs(6)); // twice a lease
+    site.fault(Fault::Ways(all(), all(), Way::GOOD));
+    site.until("all are here", |trial| trial.whole(&all()));
+    let strangers: Vec<usize> = others(0).into_iter().filter(|&other| other != 3).collect();
+    for (from, to) in [(vec![0], strangers.clone()), (strangers, vec![0])] {
+        site.fault(Fault::Ways(from, to, Way::CUT));
+    }
+    std::thread::sleep(Duration::from_secs(6));
+    site.fault(Fault::Ways(all(), all(), Way::GOOD));
+    site.until("all are here", |trial| trial.whole(&all()));
+    assert!(all().iter().all(|&at| site.said(at, "its lease has run out") == 0));
+}
+
+#[test]
+fn one_that_flaps_and_strays_trouble_nobody_else() {
+    let mut site = Site::whole(9);
+    let stray = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let sight = site.trial.sight(1).unwrap();
+    let address = sight["fellows"][0]["address"].as_str().unwrap().to_owned();
+    for _ in 0..6 {
+        stray.send_to(b"LS is not for me", &address).unwrap(); // a relay's: not from a node
+        stray.send_to(&[7; 300], site.trial.address(1)).unwrap();
+        site.fault(Fault::Kill(vec![0]));
+        std::thread::sleep(Duration::from_millis(150));
+        site.fault(Fault::Start(vec![0]));
+        std::thread::sleep(Duration::from_millis(350));
+    }
+    site.until("all are here", |trial| trial.whole(&all()));
+    assert!(site.trial.sight(1).unwrap()["unlisted"].as_u64().unwrap() >= 6);
+    let noted = site.trial.noted();
+    assert_eq!(accused(&noted, Duration::from_secs(10)), Vec::<String>::new());
+    let gone = |of: usize| format!("siblings: node {of} is gone");
+    let others_gone = others(0).iter().any(|&of| all().iter().any(|&at| site.said(at, &gone(of)) > 0));
+    assert!(!others_gone, "of the others nobody was held to be gone");
 }
 
 #[test]
--- a/crates/siblings/src/siblings.rs
+++ b/crates/siblings/src/siblings.rs
@@ -23,7 +23,7 @@
 const PASSED_ON: usize = 2;
 /// Datagrams beyond those of each period: so many at once, and so many a second.
 const AT_ONCE: u64 = 20;
-const A_SECOND: u64 = 10;
+const A_SECOND: u64 = 20;
 /// Another process under our name was seen so often in so long: that is no word from our own past.
 const RIVALS: u32 = 3;
 const RIVAL_TIME: Micros = 10_000_000;
@@ -270,12 +270,12 @@
         });
         let mut cries = false;
         for (n, row) in said.rows.iter().enumerate() {
-            cries |= self.take(now, *row, from, n == 0);
+            cries |= self.take(now, *row, false, from, n == 0);
         }
         // Of those beside it a node hears more, and a brief would hide that.
         for row in &said.briefs {
             if !self.watched.contains(&usize::from(row.origin)) {
-                self.take(now, *row, from, false);
+                self.take(now, *row, true, from, false);
             }
         }
         if let Some(at) = self.watched.iter().position(|&watched| watched == from) {
@@ -319,7 +319,7 @@
         if !rows.is_empty() && self.has_token() {
             self.own_row(now);
             let mut said = self.opening();
-            rows.into_iter().for_each(|row| _ = said.add(row, LONGEST));
+            rows.into_iter().for_each(|row| _ = said.add(row, true, LONGEST));
             self.put(to, &said, out);
         }
     }
@@ -339,7 +339,7 @@
             let mut nodes: Vec<usize> = self.view.bucket(bucket).filter(|&node| node != to).collect();
             self.dice.0.shuffle(&mut nodes);
             for row in nodes.into_iter().filter_map(|node| self.view.get(node)).map(|known| known.row) {
-                if !said.has(row.origin) && !said.add(row, LONGEST) {
+                if !said.has(row.origin) && !said.add(row, true, LONGEST) {
                     return self.put(to, &said, out);
                 }
             }
@@ -528,7 +528,9 @@
         let fresh = |to: &usize| {
             let known = self.view.get(*to);
             known.is_some_and(|known| {
-                !known.is_gone() && now <= known.at + self.setup.terms.fresh(self.setup.nodes)
+                known.told.is_some()
+                    && !known.is_gone()
+                    && now <= known.at + self.setup.terms.fresh(self.setup.nodes)
             })
         };
         let into = |to: usize| {
@@ -619,8 +621,8 @@
         (self.tokens, self.refilled) = ((self.tokens + passed * A_SECOND).min(AT_ONCE * 1_000_000), now);
     }
 
-    /// Takes one row. `direct`: it came from the node itself. Tells whether it says what can't wait.
-    fn take(&mut self, now: Micros, row: Row, by: usize, direct: bool) -> bool {
+    /// Takes one row, or a brief. `direct`: it came from the node itself. Tells whether it says what can't wait.
+    fn take(&mut self, now: Micros, row: Row, brief: bool, by: usize, direct: bool) -> bool {
         let node = usize::from(row.origin);
         if node >= self.setup.nodes {
             return false;
@@ -630,8 +632,8 @@
             return false;
         }
         let stale = self.setup.terms.fresh(self.setup.nodes) * 3 / 4;
-        let taken = self.view.take(now, row, by, stale);
-        if taken != Taken::News {
+        let taken = self.view.take(now, row, brief, by, stale);
+        if !matches!(taken, Taken::News | Taken::Ends) {
             self.spread.told_by_another(node);
         }
         if matches!(taken, Taken::Old | Taken::Same) {
@@ -648,8 +650,10 @@
                 self.own.heard_by(at, row.heard[place]);
             }
         }
-        if taken == Taken::News {
-            self.spread.news(node);
+        match taken {
+            Taken::News => self.spread.news(node, false, false),
+            Taken::Ends => self.spread.news(node, true, row.standing.calling),
+            Taken::Old | Taken::Same | Taken::Beat => {}
         }
         let near: Vec<usize> = self.ring.of(node).collect();
         for (place, &other) in near.iter().enumerate() {
@@ -660,8 +664,7 @@
         }
         self.view.judge(&self.ring, node);
         self.tell_state(now, node);
-        taken == Taken::News
-            && (row.standing.calling || row.standing.leaving || row.heard.iter().any(|h| h.expired))
+        taken == Taken::Ends || taken == Taken::News && row.standing.leaving
     }
 
     /// Speaks to those that others miss: there may be a way from here, and no other.
@@ -766,7 +769,7 @@
         for (heard, watch) in row.heard.iter_mut().zip(&self.watches) {
             *heard = watch.told(now, &self.setup.terms);
         }
-        self.view.take(now, row, self.setup.me, Micros::MAX / 2);
+        self.view.take(now, row, false, self.setup.me, Micros::MAX / 2);
     }
 
     /// Sends to one beyond the turn, as far as there is room for that.
@@ -845,9 +848,9 @@
             }
         }
         for _ in 0..self.spread.pending() {
-            let Some(node) = self.spread.next() else { break };
+            let Some((node, whole)) = self.spread.next() else { break };
             let news = row(&self.view, node).filter(|_| node != to && !said.has(node as u16));
-            if news.is_some_and(|row| !said.add(row, LONGEST)) {
+            if news.is_some_and(|row| !said.add(row, !whole, LONGEST)) {
                 break;
             }
             self.spread.told(node);
@@ -857,7 +860,7 @@
         for _ in 0..self.setup.nodes.min(if agrees { 0 } else { 32 }) {
             let node = self.spread.in_turn();
             let other = row(&self.view, node).filter(|_| node != to && !said.has(node as u16));
-            if other.is_some_and(|row| !said.add(row, IN_TURN)) {
+            if other.is_some_and(|row| !said.add(row, true, IN_TURN)) {
                 break;
             }
         }
--- a/crates/siblings/src/spread.rs
+++ b/crates/siblings/src/spread.rs
@@ -2,10 +2,15 @@
 
 use std::collections::VecDeque;
 
+/// How often one is sent that is newer soon.
+const SOON: u8 = 3;
+
 /// Rows that are news, and how often each is still to be sent.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Spread {
     left: Vec<u8>,
+    /// Whether it is to be told with all that it has heard.
+    whole: Vec<bool>,
     queue: VecDeque<u16>,
     /// How often one is sent: enough to reach all, as rumours go.
     times: u8,
@@ -16,29 +21,39 @@
 impl Spread {
     pub fn new(nodes: usize, first: usize) -> Spread {
         let times = (usize::BITS - nodes.leading_zeros()) as u8 + 2;
-        Spread { left: vec![0; nodes], queue: VecDeque::new(), times, turn: first % nodes.max(1) }
+        Spread {
+            left: vec![0; nodes],
+            whole: vec![false; nodes],
+            queue: VecDeque::new(),
+            times,
+            turn: first % nodes.max(1),
+        }
     }
 
     /// A node's row says something new.
-    pub fn news(&mut self, node: usize) {
-        if !self.queue.contains(&(node as u16)) {
-            self.queue.push_back(node as u16);
-        }
-        self.left[node] = self.times;
+    ///
+    /// `whole`: with all that it has heard. `soon`: there will be newer word of it within a period.
+    pub fn news(&mut self, node: usize, whole: bool, soon: bool) {
+        // The newest first: what is older has reached many already.
+        self.queue.retain(|&other| usize::from(other) != node);
+        self.queue.push_front(node as u16);
+        self.whole[node] = whole || self.whole[node] && self.left[node] > 0;
+        self.left[node] = if soon { SOON } else { self.times };
     }
 
     /// Another has told the same: it need not be told as often any more.
     ///
     /// Guards against: hundreds of rows that are news at once, each still told long after all have heard of it.
     pub fn told_by_another(&mut self, node: usize) {
-        self.left[node] = self.left[node].saturating_sub(1);
+        self.left[node] = self.left[node].saturating_sub(5);
     }
 
-    /// The next that is news.
-    pub fn next(&mut self) -> Option<usize> {
+    /// The next that is news, and whether it is to be told whole.
+    pub fn next(&mut self) -> Option<(usize, bool)> {
         while let Some(&node) = self.queue.front() {
-            if self.left[usize::from(node)] > 0 {
-                return Some(usize::from(node));
+            let node = usize::from(node);
+            if self.left[node] > 0 {
+                return Some((node, self.whole[node]));
             }
             self.queue.pop_front();
         }
--- a/crates/siblings/src/view.rs
+++ b/crates/siblings/src/view.rs
@@ -63,6 +63,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Known {
     pub row: Row,
+    /// Of which beat the row is that told what it has heard; none did if there is none.
+    pub told: Option<u32>,
     /// When its newest row came, and by whom.
     pub at: Micros,
     pub by: usize,
@@ -95,8 +97,10 @@
     Same,
     /// It is newer, and says nothing new of who is there and who hears whom.
     Beat,
-    /// It says something new.
+    /// It says something new of itself.
     News,
+    /// It says something new of another, or needs word.
+    Ends,
 }
 
 impl View {
@@ -134,30 +138,44 @@
         mixed ^ mixed >> 29
     }
 
-    /// Takes a row that `by` has brought.
+    /// Takes a row that `by` has brought. `brief`: it says nothing of what it has heard, so that what is known of that stays.
     ///
     /// `stale`: after so long word of a node is news, whatever it says.
-    pub fn take(&mut self, now: Micros, row: Row, by: usize, stale: Micros) -> Taken {
+    pub fn take(&mut self, now: Micros, row: Row, brief: bool, by: usize, stale: Micros) -> Taken {
         let node = usize::from(row.origin);
         if node >= self.known.len() {
             return Taken::Old; // no node of the list
         }
         let before = self.share(node);
+        let told = (!brief).then_some(row.beat);
         let taken = match &mut self.known[node] {
-            Some(known) if row.age() == known.row.age() => return Taken::Same,
-            Some(known) if row.age() < known.row.age() => return Taken::Old,
+            Some(known) if row.incarnation < known.row.incarnation => return Taken::Old,
             Some(known) => {
-                let late = now > known.at + stale;
-                let was = std::mem::replace(&mut known.row, row);
-                if row.incarnation > was.incarnation {
-                    known.newer_than = Some(was.incarnation);
+                let (was, begins) = (known.row, row.incarnation > known.row.incarnation);
+                let newer = row.age() > was.age();
+                let tells = !brief && (begins || known.told.is_none_or(|told| row.beat > told));
+                if !newer && !tells {
+                    return if row.age() == was.age() { Taken::Same } else { Taken::Old };
+                }
+                let late = newer && now > known.at + stale;
+                if newer {
+                    known.newer_than = if begins { Some(was.incarnation) } else { known.newer_than };
+                    (known.row, known.at, known.by) =
+                        (Row { heard: was.heard, watches: was.watches, ..row }, now, by);
+                }
+                if tells {
+                    (known.row.heard, known.row.watches, known.told) = (row.heard, row.watches, told);
+                } else if begins {
+                    (known.row.heard, known.told) = Default::default();
+                }
+                match news(&was, &known.row) {
+                    Taken::Beat if late => Taken::News,
+                    taken => taken,
                 }
-                (known.at, known.by) = (now, by);
-                if tells_the_same(&was, &row) && !late { Taken::Beat } else { Taken::News }
             }
             none => {
-                *none = Some(Known { row, at: now, by, gone: None, newer_than: None });
-                if row.standing.confirmed { Taken::News } else { Taken::Beat }
+                *none = Some(Known { row, told, at: now, by, gone: None, newer_than: None });
+                news(&Row { incarnation: 0, ..Row::default() }, &row)
             }
         };
         if row.standing.leaving {
@@ -194,14 +212,16 @@
     }
 }
 
-/// Whether a newer row says the same of who is there and who hears whom.
-fn tells_the_same(was: &Row, is: &Row) -> bool {
-    let ways = |row: &Row| row.heard.map(|heard| (heard.direct, heard.expired));
-    // Each beat of one that calls is waited for. One that has just begun has nothing to tell until it is confirmed.
-    let begins = !is.standing.confirmed
-        && !is.standing.leaving
-        && was.standing.confirmed == (was.incarnation < is.incarnation);
-    !is.standing.calling
-        && (begins
-            || was.incarnation == is.incarnation && was.standing == is.standing && ways(was) == ways(is))
+/// What a newer row says that is new. Which ways are open is told in turn, unless somebody calls.
+fn news(was: &Row, is: &Row) -> Taken {
+    let ends = was.heard.iter().zip(&is.heard);
+    let mut ends = ends.map(|(was, is)| is.expired && (!was.expired || was.incarnation != is.incarnation));
+    // Each beat of one that calls is waited for.
+    if is.standing.calling || ends.any(|ends| ends) {
+        return Taken::Ends;
+    }
+    let newer = was.incarnation < is.incarnation;
+    // One that has just begun has nothing to tell until it is confirmed.
+    let begins = !is.standing.confirmed && !is.standing.leaving && was.standing.confirmed == newer;
+    if begins || !newer && was.standing == is.standing { Taken::Beat } else { Taken::News }
 }
