Have the older of two processes of one name give way, and test liars and reloads

Cause: a process of 5 s could give way to one of 20 s, so that neither an operator nor a supervisor knew which would stay. Change: whoever first has run for 30 s yields, which is the older; tests for that, for a node that swears that all are dead, and on processes for a list that changes by SIGHUP.

--- a/crates/lilacquay/tests/siblings.rs
+++ b/crates/lilacquay/tests/siblings.rs
@@ -259,6 +259,30 @@
     assert!(!others_gone, "of the others nobody was held to be gone");
 }
 
+#[test]
+fn another_list_is_gone_by_from_a_reload_on() {
+    let site = Site::whole(10);
+    let file = site.folder.path().join("node-0/serve.toml");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let reload = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        let id = site.trial.process(0).unwrap().to_string();
+        assert!(std::process::Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
+    };
+    reload(&text.replace("\"trial\"", "\"elsewhere\""));
+    site.until("it has left the others", |trial| {
+        others(0).iter().all(|&at| trial.state(at, 0).as_deref() == Some("gone"))
+    });
+    site.until("the others are strangers to it", |trial| {
+        trial.sight(0).is_some_and(|sight| sight["strangers"].as_u64() > Some(0) && sight["unknown"] == 4)
+    });
+    reload(&text);
+    site.until("all are here", |trial| trial.whole(&all()));
+    reload(&text.replace("me = 0", "me = 9"));
+    site.until("a mistake is told", |_| site.said(0, "siblings.me: out of range") == 1);
+    assert!(site.trial.whole(&all()), "and nothing of it is gone by");
+}
+
 #[test]
 fn without_siblings_not_a_byte_is_sent_and_none_are_told() {
     let site = Site::new(false, 7);
--- a/crates/siblings/src/siblings.rs
+++ b/crates/siblings/src/siblings.rs
@@ -28,7 +28,7 @@
 const RIVALS: u32 = 3;
 const RIVAL_TIME: Micros = 10_000_000;
 /// A process that has run for so long gives way to one that has not.
-const ESTABLISHED: Micros = 5_000_000;
+const ESTABLISHED: Micros = 30_000_000;
 /// Changes that nobody has fetched yet, at most.
 const CHANGES: usize = 4096;
 /// A row that is so many beats older than the newest is of another life.
--- a/crates/siblings/src/world.rs
+++ b/crates/siblings/src/world.rs
@@ -225,6 +225,11 @@
         self.gather(to, out);
     }
 
+    /// A datagram comes that nobody of the world has sent.
+    pub fn deliver(&mut self, from: usize, to: usize, datagram: &[u8]) {
+        self.comes(from, to, datagram);
+    }
+
     fn gather(&mut self, node: usize, out: Vec<Out>) {
         for change in self.nodes[node].siblings.as_mut().map(Siblings::changes).unwrap_or_default() {
             self.changes.push((self.now, node, change));
--- a/crates/siblings/tests/virtual_time.rs
+++ b/crates/siblings/tests/virtual_time.rs
@@ -366,3 +366,88 @@
         assert!(sent < 40 + 20_000 / 25, "{nodes}: {sent} beyond the turn in 20 s");
     }
 }
+
+/// One that says of all whom it watches, again and again, that their leases have run out.
+#[test]
+fn one_that_swears_that_all_others_are_dead_ends_nobody() {
+    use lilacquay_codec::siblings::{Heard, Row, Said, put, site};
+    assert_ne!(site("a", 3), site("a", 4));
+    let mut world = settled(5, 13);
+    world.kill(4);
+    world.run(10 * S);
+    world.changes.clear();
+    let ring = lilacquay_siblings::Ring::new(5);
+    let mut beat = 0;
+    for _ in 0..120 {
+        world.run(500 * MS);
+        beat += 1;
+        let of = |node: usize| world.siblings(node).incarnation() as u32;
+        let mut row = Row { origin: 4, incarnation: 1 << 47, beat, watches: 4, ..Row::default() };
+        row.standing.confirmed = true;
+        for (heard, node) in row.heard.iter_mut().zip(ring.of(4)) {
+            *heard = Heard { incarnation: of(node), beat: 1, direct: true, expired: true };
+        }
+        let datagram = put(7, &Said { rows: vec![row], ..Said::default() });
+        for node in 0..4 {
+            world.deliver(4, node, &datagram);
+        }
+    }
+    let gone = |(_, _, change): &&(u64, usize, Change)| {
+        matches!(change, Change::State { is: State::Gone, why: Why::Expired { .. }, .. })
+    };
+    assert_eq!(world.changes.iter().find(gone), None);
+    let began = world.changes.iter().filter(|(_, _, change)| matches!(change, Change::Began { .. })).count();
+    assert!(began <= 4 * 8, "{began} in a minute at four nodes: each ten seconds at the most");
+    assert!((0..4).all(|node| world.siblings(node).is_confirmed(world.clock(node))));
+}
+
+/// Two processes of one name hear of each other through the others: one gives way, and says so.
+#[test]
+fn of_two_processes_of_one_name_one_gives_way() {
+    use lilacquay_siblings::{Setup, Siblings};
+    for seed in 0..8 {
+        // The places of the two are 2 and 3; both are node 2 of three.
+        let (mut now, wall) = (S, 1_700_000_000 * S);
+        let name = |place: usize| place.min(2);
+        let setup = |place: usize| Setup {
+            me: name(place),
+            nodes: 3,
+            site: 7,
+            seed: seed * 10 + place as u64,
+            terms: Terms::default(),
+        };
+        let mut all: Vec<Siblings> = (0..3).map(|place| Siblings::new(setup(place), now, wall)).collect();
+        let mut told = 0;
+        for step in 0..120 {
+            if step == 40 {
+                all.push(Siblings::new(setup(3), now, wall + now));
+            }
+            for place in 0..all.len() {
+                let mut due: Vec<(usize, usize, Vec<u8>)> = Vec::new();
+                let out = all[place].tick(now, wall + now);
+                due.extend(out.into_iter().map(|out| (place, out.to, out.datagram)));
+                for _ in 0..8 {
+                    for (from, to, datagram) in std::mem::take(&mut due) {
+                        for at in (0..all.len()).filter(|&at| name(at) == to && at != from) {
+                            let out = all[at].heard(now, wall + now, name(from), &datagram);
+                            due.extend(out.into_iter().map(|out| (at, out.to, out.datagram)));
+                        }
+                    }
+                    now += MS;
+                }
+            }
+            now += 500 * MS - 8 * MS * all.len() as u64;
+        }
+        for node in &mut all {
+            told += node.changes().iter().filter(|change| **change == Change::Superseded).count();
+        }
+        let superseded: Vec<bool> = all.iter().map(Siblings::is_superseded).collect();
+        assert_eq!(
+            superseded.iter().filter(|superseded| **superseded).count(),
+            1,
+            "seed {seed}: {superseded:?}"
+        );
+        assert!(told == 1 && superseded[2], "the one that has run for long gives way");
+        assert!(all[3].is_confirmed(now - 500 * MS), "seed {seed}: the other is node 2");
+    }
+}
