Give each node of a trial an address of its own, so that thirty come up

Cause: a trial of 30 processes failed to start (node 2 doesn't come up): ports were found free and let go again, and the relay's 900 sockets or a connection took them meanwhile. Change: each node has an address of the loopback of its own, by the trial's process and number.

--- a/crates/fleet/src/trial.rs
+++ b/crates/fleet/src/trial.rs
@@ -4,11 +4,11 @@
 
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -26,6 +26,9 @@
 /// A process that says nothing for so long is held to be stuck.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Trials that this process has started.
+static TRIALS: AtomicU16 = AtomicU16::new(0);
+
 /// How datagrams go from one node to another.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Way {
@@ -176,14 +179,15 @@
     pub fn start(plan: TrialPlan, folder: &Path) -> io::Result<Trial> {
         let fleet = Fleet::start(plan.fleet.clone())?;
         let (clock, notes) = (fleet.clock().clone(), Notes::default());
-        let nodes: Vec<SocketAddr> = (0..plan.nodes).map(|_| free_udp()).collect::<io::Result<_>>()?;
+        let number = TRIALS.fetch_add(1, Ordering::Relaxed);
+        let nodes: Vec<SocketAddr> = (0..plan.nodes).map(|node| place(number, node)).collect();
         let ways = Arc::new(Ways::new(plan.nodes, plan.seed));
         let relay = Relay::start(nodes.clone(), ways.clone())?;
         let mut processes = Vec::new();
         for node in 0..plan.nodes {
             let folder = folder.join(format!("node-{node}"));
             fs::create_dir_all(&folder)?;
-            let listen = free_tcp()?;
+            let listen = nodes[node];
             let mut configuration: Value =
                 serde_json::from_str(&fleet.configuration(listen, 512)).map_err(io::Error::other)?;
             configuration["settings"]["Siblings"] = json!(plan.nodes);
@@ -404,13 +408,12 @@
     of.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// A port that nobody has, as good as surely also a moment later.
-fn free_udp() -> io::Result<SocketAddr> {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
-
-fn free_tcp() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+/// An address that no other node of any trial has, and that no connection takes by chance: an address of the loopback of its
+/// own for each node, by the process that holds the trial, and a port by the trial.
+fn place(trial: u16, node: usize) -> SocketAddr {
+    let [high, low] = ((std::process::id() % 0xFFFF) as u16).to_be_bytes();
+    let address = Ipv4Addr::new(127, high.max(1), low, 1 + (node % 250) as u8);
+    (address, 20_000 + trial % 10_000 + (node / 250) as u16).into()
 }
 
 /// The ways between all ordered pairs.
