--- a/crates/siblings/tests/virtual_time.rs
+++ b/crates/siblings/tests/virtual_time.rs
@@ -479,3 +479,37 @@
         assert!(times[times.len() / 2] <= 5 * S && times[times.len() - 1] <= 10 * S, "{:?}", times.last());
     }
 }
+
+/// One that was gone comes back on one side of a split, while one beside it, on the other side, has a half of its part and is
+/// confirmed itself: it must let go of that, though it hears nothing of the return.
+#[test]
+fn a_half_is_let_go_of_once_the_others_words_are_old() {
+    let mut world = settled(7, 14);
+    let ring = lilacquay_siblings::Ring::new(7);
+    let mut places = vec![0];
+    while places.len() < 7 {
+        places.push(ring.of(places[places.len() - 1]).next().unwrap());
+    }
+    let (back, beside) = (places[0], places[1]);
+    world.kill(back);
+    world.until(KNOWN, |w| w.part(beside) > WHOLE);
+    let far = [places[1], places[2], places[3]];
+    world.split(|node| far.contains(&node), true);
+    let now = world.now;
+    world.start_at(back, now);
+    world.run(15 * S); // each step is checked
+    assert!(world.part(back) == WHOLE && world.part(beside) == WHOLE);
+    assert_eq!(world.state(back, beside), State::Gone, "it has heard nothing of the return");
+}
+
+#[test]
+fn a_machine_that_slept_uses_nothing_until_it_is_confirmed_anew() {
+    let world = settled(3, 15);
+    let (now, wall) = (world.clock(0), 1_700_000_000 * S + world.now);
+    let mut node = world.siblings(0).clone();
+    node.tick(now, wall);
+    assert_eq!(node.part(now + MS).at(now + MS), WHOLE);
+    // Its steady clock stood still meanwhile.
+    node.tick(now + MS, wall + 10 * S);
+    assert_eq!(node.part(now + 2 * MS).at(now + 2 * MS), 0);
+}
