Read datagrams of other nodes last, so that a flood holds up no order or question

Cause: on reading again, the task's choice took datagrams before questions, reloads and the word to stop, and never came to those while some were always there (lilacquay/src/siblings.rs, run).

--- a/crates/lilacquay/src/siblings.rs
+++ b/crates/lilacquay/src/siblings.rs
@@ -180,16 +180,6 @@
             let out = tokio::select! {
                 biased;
                 () = sleep_until(due) => self.siblings.tick(self.clock.now(), wall()),
-                come = self.socket.recv_from(&mut datagram) => {
-                    let mut out = Vec::new();
-                    let mut come = come;
-                    for _ in 0..TURN {
-                        let Ok((length, from)) = come else { break };
-                        out.extend(self.heard(from, &datagram[..length]));
-                        come = self.socket.try_recv_from(&mut datagram);
-                    }
-                    out
-                }
                 Some(ask) = ties.asks.recv() => {
                     let _ = ask.send(self.sight()); // who asked may have left
                     continue;
@@ -209,6 +199,17 @@
                     info!("siblings: the list of nodes has changed; it begins anew");
                     return self.send(last).await;
                 }
+                // Last: datagrams without end hold up none of the above.
+                come = self.socket.recv_from(&mut datagram) => {
+                    let mut out = Vec::new();
+                    let mut come = come;
+                    for _ in 0..TURN {
+                        let Ok((length, from)) = come else { break };
+                        out.extend(self.heard(from, &datagram[..length]));
+                        come = self.socket.try_recv_from(&mut datagram);
+                    }
+                    out
+                }
             };
             self.send(out).await;
             self.log();
