Draw the console anew at each change of size, also one that comes to nothing

Sizes that follow one another between two looks (run.rs, watch) left the size as it was last drawn, so that only what had changed was written, onto a terminal that had lost the rest. What is done: a SIGWINCH clears. The test now loses the terminal's contents without a change of size, which fails without the change.

--- a/crates/console/src/run.rs
+++ b/crates/console/src/run.rs
@@ -114,7 +114,12 @@
             Err(RecvTimeoutError::Timeout) => inputs.extend(keys.pause().map(Input::Key)),
             Err(RecvTimeoutError::Disconnected) => return Err(io::Error::other("the terminal has gone")),
         }
-        news |= resized.swap(false, Ordering::Relaxed);
+        // Guards against: sizes that follow one another so quickly that the last is the one drawn before. What the terminal
+        // lost on the way is drawn anew whether or not the size differs.
+        if resized.swap(false, Ordering::Relaxed) {
+            screen.terminal.clear()?;
+            news = true;
+        }
         inputs.extend(link.take());
         for input in inputs {
             news = true;
--- a/crates/lilacquay/tests/common/tty.rs
+++ b/crates/lilacquay/tests/common/tty.rs
@@ -95,6 +95,14 @@
         self.master.resize(size(rows, cols)).unwrap();
     }
 
+    /// Loses what it shows, as a terminal that shrinks to nothing for a moment does.
+    pub fn forget(&self) {
+        let mut seen = self.seen.0.lock().unwrap();
+        for (rows, cols) in [(1, 1), (24, 80)] {
+            seen.parser.screen_mut().set_size(nonzero(rows), nonzero(cols));
+        }
+    }
+
     /// Takes nothing more of what is written, and has it drawn anew until the console stands in the midst of a write.
     pub fn block(&mut self) {
         self.seen.0.lock().unwrap().blocked = true;
--- a/crates/lilacquay/tests/console.rs
+++ b/crates/lilacquay/tests/console.rs
@@ -188,6 +188,10 @@
         console.press("1");
     }
     console.shows("3 of 3 serve");
+    // Sizes that come and go between two looks: the size is as it was, and all that was shown is lost.
+    console.forget();
+    console.signal("-WINCH");
+    console.shows("3 of 3 serve");
     let mut rng = fastrand::Rng::with_seed(5);
     for _ in 0..200 {
         // Whatever may come but what ends, suspends or orders: those are tried by themselves.
