--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,35 @@
+//! What the nodes of a site hold in common: small records by kind, origin and name, that are alike at all of them some
+//! moments after the last change, whatever was lost, late or doubled on the way.
+//!
+//! Each record is written by its origin alone, and of two copies the newer one stands, so that copies can be merged in any
+//! order. Where records of several origins speak of one thing, the kind's own rule says what follows, and no rule gives
+//! back what another takes away: [`orders`], [`words`], [`evidence`]. What may not be used twice is not held in common but
+//! lent: [`rights`]. `docs/design/replica.md` has the reasons and the bounds.
+//!
+//! No I/O, no clock, no thread: [`Replica::heard`] and [`Replica::tick`] are told the time and say what is to be sent.
+
+pub mod evidence;
+pub mod orders;
+mod pace;
+mod replica;
+pub mod rights;
+mod rumours;
+mod store;
+pub mod words;
+pub mod world;
+
+pub use replica::{Counts, Full, Out, Peer, Replica, Setup, Stage};
+pub use store::{Held, Taken, id_of, sum_of};
+
+/// A time, or a length of it, in microseconds.
+pub type Micros = u64;
+
+/// What a record means. Records of other kinds are kept and passed on, for fellows of a later build.
+pub mod kind {
+    /// An operator's order.
+    pub const ORDER: u8 = 1;
+    /// Word that a server drains or is gone.
+    pub const WORD: u8 = 2;
+    /// What a node has seen of a server.
+    pub const EVIDENCE: u8 = 3;
+}
