--- a/crates/bench/src/bin/siblings.rs
+++ b/crates/bench/src/bin/siblings.rs
@@ -11,7 +11,6 @@
 
 use hdrhistogram::Histogram;
 use lilacquay_bench::raise_descriptors;
-use lilacquay_fleet::Plan;
 use lilacquay_fleet::clients::{self, Load};
 use lilacquay_fleet::trial::{Fault, Trial, TrialPlan, Way};
 use lilacquay_siblings::world::{Link, MS, S, World};
@@ -194,7 +193,7 @@
     for round in 0..6 {
         let siblings = round % 2 == 1;
         let folder = tempfile::tempdir()?;
-        let plan = TrialPlan { program: program.into(), nodes: 5, siblings, seed: 1, fleet: Plan::default() };
+        let plan = TrialPlan { siblings, ..TrialPlan::new(program.into(), 5, 1) };
         let trial = Trial::start(plan, folder.path())?;
         std::thread::sleep(Duration::from_secs(4));
         let time = Duration::from_secs(15);
@@ -235,7 +234,7 @@
 fn processes(nodes: usize, program: &Path) -> std::io::Result<()> {
     raise_descriptors()?;
     let folder = tempfile::tempdir()?;
-    let plan = TrialPlan { program: program.into(), nodes, siblings: true, seed: 1, fleet: Plan::default() };
+    let plan = TrialPlan::new(program.into(), nodes, 1);
     let start = Instant::now();
     let mut trial = Trial::start(plan, folder.path())?;
     let all: Vec<usize> = (0..nodes).collect();
--- a/crates/console/src/dialog.rs
+++ b/crates/console/src/dialog.rs
@@ -34,6 +34,7 @@
             lasting: false,
             force: false,
             seen: Some(seen(server)),
+            wait_for: None,
         };
         let mut lines = held(server);
         lines.push("It gets nothing new from then on, until it is undrained.".into());
@@ -54,7 +55,8 @@
         let Verb::Drain { server: name, lasting, force, seen, .. } = verb else {
             unreachable!("as it was made")
         };
-        let verb = Verb::Drain { server: name, seconds: Some(LEFT_OUT), lasting, force, seen };
+        let verb =
+            Verb::Drain { server: name, seconds: Some(LEFT_OUT), lasting, force, seen, wait_for: None };
         let title = format!("Leave {} out for a time", plain(&server.name));
         let mut lines: Vec<String> =
             lines.into_iter().filter(|line| !line.contains("until it is undrained")).collect();
@@ -64,7 +66,7 @@
 
     /// To lift what was ordered for a box.
     pub fn undrain(server: &BoxNow) -> Dialog {
-        let verb = Verb::Undrain { server: server.name.clone(), seen: Some(seen(server)) };
+        let verb = Verb::Undrain { server: server.name.clone(), seen: Some(seen(server)), wait_for: None };
         let what = match (&server.order, server.listed) {
             (None, _) => "No order holds it: the node will refuse this.".into(),
             (Some(order), true) => format!("Order {} is lifted, and it serves again at once.", order.number),
@@ -98,7 +100,11 @@
             format!("The log tells what is of level {level} or graver, until the next restart."),
             "debug and trace cost time and room.".into(),
         ];
-        Dialog::on_node(Verb::Level { level: level.into() }, &format!("Log from {level} on"), lines)
+        Dialog::on_node(
+            Verb::Level { level: level.into(), everywhere: false },
+            &format!("Log from {level} on"),
+            lines,
+        )
     }
 
     /// To write a diagnosis bundle.
--- a/crates/console/src/model.rs
+++ b/crates/console/src/model.rs
@@ -261,13 +261,17 @@
 
     fn outcome(&mut self, verb: &Verb, answer: Result<Answer, String>) {
         let (said, unrecorded) = match answer {
-            Ok(Answer::Obeyed { number, replaced, unrecorded }) => {
+            Ok(Answer::Obeyed { number, replaced, unrecorded, held }) => {
                 if let Verb::Drain { server, .. } = verb {
                     self.followed = Some(server.clone());
                 }
                 let replaced =
                     replaced.map_or(String::new(), |old| format!(", in place of order {}", old.number));
-                (format!("Obeyed as order {number}{replaced}."), unrecorded)
+                let by = held.map_or(String::new(), |held| {
+                    let conflict = if held.conflict { "; ANOTHER ORDER CONTRADICTS IT" } else { "" };
+                    format!(", held by {} of {} nodes{conflict}", held.nodes, held.of)
+                });
+                (format!("Obeyed as order {number}{replaced}{by}."), unrecorded)
             }
             Ok(Answer::Done { what, unrecorded }) => (format!("Done: {}.", plain(&what)), unrecorded),
             Ok(Answer::Refused { why }) => (format!("REFUSED: {}", plain(&why)), None),
--- a/crates/console/tests/model.rs
+++ b/crates/console/tests/model.rs
@@ -144,12 +144,13 @@
                     number: 1,
                     replaced: None,
                     unrecorded: rng.bool().then(|| text(rng)),
+                    held: None,
                 }),
                 1 => Ok(Answer::Refused { why: text(rng) }),
                 2 => Ok(Answer::Orders { orders: vec![] }),
                 _ => Err(text(rng)),
             };
-            Input::Outcome { verb: Verb::Undrain { server: text(rng), seen: None }, answer }
+            Input::Outcome { verb: Verb::Undrain { server: text(rng), seen: None, wait_for: None }, answer }
         }
     }
 }
--- a/crates/control/src/folder.rs
+++ b/crates/control/src/folder.rs
@@ -33,6 +33,9 @@
     server: String,
     /// Unix time in milliseconds; until it is lifted if there is none.
     until_ms: Option<u64>,
+    /// What it is known by among the nodes, if they hold it in common.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    mark: Option<String>,
 }
 
 #[derive(Serialize)]
@@ -99,9 +102,10 @@
         };
         let read: Orders = serde_json::from_slice(&text).map_err(|error| wrong(error.into()))?;
         let now = unix_ms();
-        let kept = |Lasting { server, until_ms }| Kept {
+        let kept = |Lasting { server, until_ms, mark }| Kept {
             server,
             left: until_ms.map(|until| until.saturating_sub(now) * 1000),
+            mark,
         };
         Ok(read.orders.into_iter().map(kept).collect())
     }
@@ -112,8 +116,11 @@
     /// If they can't be written; those kept before are then still there.
     pub fn keep(&self, kept: Vec<Kept>) -> io::Result<()> {
         let now = unix_ms();
-        let lasting =
-            |Kept { server, left }| Lasting { server, until_ms: left.map(|left| now + left / 1000) };
+        let lasting = |Kept { server, left, mark }| Lasting {
+            server,
+            until_ms: left.map(|left| now + left / 1000),
+            mark,
+        };
         let orders = Orders { orders: kept.into_iter().map(lasting).collect() };
         let mut file = tempfile::NamedTempFile::new_in(&self.0)?;
         serde_json::to_writer(&mut file, &orders)?;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,5 +12,8 @@
 pub use client::{Client, ClientError, Stream};
 pub use event_log::EventLog;
 pub use folder::Folder;
-pub use server::{Command, Control, Host, Outcome};
-pub use words::{Answer, FellowNow, Question, Server, Sight, Standing, Verb, Version, WayNow};
+pub use server::{Command, CommonOrder, Control, Host, Outcome, SiblingsAsk};
+pub use words::{
+    Answer, CopyNow, FellowNow, HeldBy, KindNow, OrderHeld, PeerCopy, Question, RecordNow, Server, Sight,
+    Standing, Verb, Version, WayNow,
+};
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -6,7 +6,7 @@
 
 use futures_util::{SinkExt, StreamExt};
 use lilacquay_core::{Holding, Orders};
-use lilacquay_steer::{Done, Kept};
+use lilacquay_steer::{Ask, Done, Kept};
 use serde_json::{Value, json};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{Mutex, Semaphore, mpsc, oneshot};
@@ -18,7 +18,7 @@
 use crate::event_log::EventLog;
 use crate::folder::Folder;
 use crate::publisher::Publisher;
-use crate::words::{Answer, LONGEST, Question, Server, Sight, Standing, VERSION, Verb};
+use crate::words::{Answer, CopyNow, HeldBy, LONGEST, Question, Server, Sight, Standing, VERSION, Verb};
 
 /// Who speaks at once; others wait until one is done.
 const MOST: usize = 48;
@@ -50,6 +50,27 @@
     Stop(oneshot::Sender<Outcome>),
 }
 
+/// An order that all nodes are to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CommonOrder {
+    /// On a server, which is obeyed here already.
+    Server(Ask),
+    /// To log from this level on.
+    Level(String),
+}
+
+/// What whoever speaks to the other nodes is asked.
+#[derive(Debug)]
+pub enum SiblingsAsk {
+    /// What it sees of them.
+    Sight(oneshot::Sender<Sight>),
+    /// What it holds of what all hold in common; nothing where they hold nothing so.
+    Copy(oneshot::Sender<Option<CopyNow>>),
+    /// To have all nodes hold an order, and to say how many do: once these many do, or all, or it has taken too long.
+    /// Nothing where they hold no orders in common.
+    Order(CommonOrder, Option<usize>, oneshot::Sender<Option<HeldBy>>),
+}
+
 /// What a node gives its control socket beside the core.
 #[derive(Clone)]
 pub struct Host {
@@ -60,7 +81,7 @@
     /// Its configuration, without secrets, for diagnosis bundles.
     pub described: Value,
     /// Who tells what it sees of the other nodes, where they speak to one another.
-    pub siblings: Option<Arc<mpsc::Sender<oneshot::Sender<Sight>>>>,
+    pub siblings: Option<Arc<mpsc::Sender<SiblingsAsk>>>,
     /// Descriptors that it may hold.
     pub descriptor_limit: usize,
 }
@@ -226,8 +247,11 @@
 
     async fn answer(&self, verb: Verb) -> Answer {
         if let Some(ask) = verb.order() {
-            return match self.orders.steer(ask).await {
-                Ok(Ok(done)) => self.obeyed(verb, &done).await,
+            return match self.orders.steer(ask.clone()).await {
+                Ok(Ok(done)) => {
+                    let held = self.in_common(CommonOrder::Server(ask), verb.wait_for()).await;
+                    self.obeyed(verb, &done, held).await
+                }
                 Ok(Err(refusal)) => self.refused(verb, &refusal.to_string()).await,
                 Err(_) => ended(),
             };
@@ -242,11 +266,22 @@
                 None => ended(),
             },
             Verb::Siblings => self.siblings().await,
+            Verb::Replica => self.replica().await,
             Verb::Events { after, .. } => Answer::Events { told: self.host.events.after(*after, usize::MAX) },
             Verb::Reload => self.command(verb, Command::Reload).await,
-            Verb::Level { level } => {
-                let level = level.clone();
-                self.command(verb, |answer| Command::Level(level, answer)).await
+            Verb::Level { level, everywhere } => {
+                let (level, everywhere) = (level.clone(), *everywhere);
+                let answer = self.command(verb, |answer| Command::Level(level.clone(), answer)).await;
+                match answer {
+                    Answer::Done { what, unrecorded } if everywhere => {
+                        let held = self.in_common(CommonOrder::Level(level), None).await;
+                        let held = held.map_or("at this node alone".into(), |held| {
+                            format!("at {} of {} nodes so far", held.nodes, held.of)
+                        });
+                        Answer::Done { what: format!("{what}, {held}"), unrecorded }
+                    }
+                    other => other,
+                }
             }
             Verb::Stop => self.command(verb, Command::Stop).await,
             Verb::Leave => self.command(verb, |answer| Command::Service(false, answer)).await,
@@ -262,16 +297,39 @@
     }
 
     async fn siblings(&self) -> Answer {
-        let Some(to) = &self.host.siblings else {
-            return Answer::Refused { why: "this node has no siblings; list them in [siblings]".into() };
-        };
-        let (answer, told) = oneshot::channel();
-        match to.send(answer).await.is_ok() {
-            true => told.await.map_or_else(|_| ended(), |sight| Answer::Siblings { sight: Box::new(sight) }),
-            false => ended(),
+        let none = || Answer::Refused { why: "this node has no siblings; list them in [siblings]".into() };
+        let Some(told) = self.ask_siblings(SiblingsAsk::Sight).await else { return none() };
+        told.await.map_or_else(|_| ended(), |sight| Answer::Siblings { sight: Box::new(sight) })
+    }
+
+    async fn replica(&self) -> Answer {
+        let why = "this node holds nothing in common with others; name kinds in `common` of [siblings]";
+        let none = || Answer::Refused { why: why.into() };
+        let Some(told) = self.ask_siblings(SiblingsAsk::Copy).await else { return none() };
+        match told.await {
+            Ok(Some(copy)) => Answer::Replica { copy: Box::new(copy) },
+            Ok(None) => none(),
+            Err(_) => ended(),
         }
     }
 
+    /// Has all nodes hold an order that is obeyed here; tells how many do.
+    async fn in_common(&self, order: CommonOrder, wait_for: Option<usize>) -> Option<HeldBy> {
+        let told = self.ask_siblings(|answer| SiblingsAsk::Order(order, wait_for, answer)).await?;
+        told.await.ok().flatten()
+    }
+
+    /// Asks whoever speaks to the other nodes; nothing if nobody does.
+    async fn ask_siblings<T>(
+        &self,
+        ask: impl FnOnce(oneshot::Sender<T>) -> SiblingsAsk,
+    ) -> Option<oneshot::Receiver<T>> {
+        let to = self.host.siblings.as_ref()?;
+        let (answer, told) = oneshot::channel();
+        to.send(ask(answer)).await.ok()?;
+        Some(told)
+    }
+
     /// Has the node carry out an order on itself.
     async fn command(&self, verb: Verb, command: impl FnOnce(oneshot::Sender<Outcome>) -> Command) -> Answer {
         let (answer, told) = oneshot::channel();
@@ -310,14 +368,15 @@
         }
     }
 
-    async fn obeyed(&self, verb: Verb, done: &Done) -> Answer {
+    async fn obeyed(&self, verb: Verb, done: &Done, held: Option<HeldBy>) -> Answer {
         let _turn = self.recording.lock().await;
         let Ok(holding) = self.orders.holding().await else { return ended() };
         let replaced = done.replaced.map(|held| Standing::new(server(&verb), held, holding.now));
-        let outcome = format!("obeyed as order {}", done.number);
+        let by = held.map_or(String::new(), |held| format!(", held by {} of {} nodes", held.nodes, held.of));
+        let outcome = format!("obeyed as order {}{by}", done.number);
         let unrecorded = self.record(verb, outcome, Some(holding.kept)).await.err();
         let unrecorded = unrecorded.map(|error| error.to_string());
-        Answer::Obeyed { number: done.number, replaced, unrecorded }
+        Answer::Obeyed { number: done.number, replaced, unrecorded, held }
     }
 
     async fn refused(&self, verb: Verb, why: &str) -> Answer {
--- a/crates/control/src/words.rs
+++ b/crates/control/src/words.rs
@@ -33,6 +33,8 @@
     Servers,
     /// The other nodes, as this one sees them.
     Siblings,
+    /// What this node holds of what all hold in common.
+    Replica,
     /// The node at this moment. From version 2, as all below that have no server.
     Look,
     /// The node again and again, at the asker's own pace, and its events. The connection takes no other question then.
@@ -58,6 +60,9 @@
     Level {
         /// `error`, `warn`, `info`, `debug` or `trace`.
         level: String,
+        /// At all nodes, where they hold orders in common.
+        #[serde(default)]
+        everywhere: bool,
     },
     /// To drain the node itself, as by SIGTERM: it answers all that it has taken, and ends.
     Stop,
@@ -83,6 +88,9 @@
         /// The server's latest order that was seen, 0 for none.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         seen: Option<u64>,
+        /// To wait until so many nodes hold it, where they hold orders in common.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait_for: Option<usize>,
     },
     /// To lift the order that holds a server.
     Undrain {
@@ -91,6 +99,9 @@
         /// The server's latest order that was seen.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         seen: Option<u64>,
+        /// To wait until so many nodes hold it, where they hold orders in common.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait_for: Option<usize>,
     },
 }
 
@@ -113,6 +124,11 @@
         /// As this one sees them.
         sight: Box<Sight>,
     },
+    /// What this node holds of what all hold in common.
+    Replica {
+        /// Its copy.
+        copy: Box<CopyNow>,
+    },
     /// The node at a moment.
     Snapshot {
         /// What it told.
@@ -139,6 +155,9 @@
         replaced: Option<Standing>,
         /// What could not be recorded of it, and why.
         unrecorded: Option<String>,
+        /// How many nodes hold it, where they hold orders in common.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        held: Option<HeldBy>,
     },
     /// The order is not obeyed, and nothing has changed.
     Refused {
@@ -243,6 +262,121 @@
     pub suspected: bool,
 }
 
+/// How many nodes hold an order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldBy {
+    /// So many have said so, the one that it was given at among them.
+    pub nodes: usize,
+    /// Of so many that are here.
+    pub of: usize,
+    /// After so long, in milliseconds.
+    pub after_ms: u64,
+    /// Other orders that had not seen this one contradict it: the drain stands.
+    pub conflict: bool,
+}
+
+/// A node's copy of what all hold in common.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CopyNow {
+    /// The node's own number, among so many.
+    pub me: usize,
+    /// How many nodes the list has.
+    pub nodes: usize,
+    /// `level` or `behind`.
+    pub stage: String,
+    /// Since how long, in seconds.
+    pub since_s: f64,
+    /// A number of all that it tells: copies that are alike have the same.
+    pub root: String,
+    /// What is held of each kind, and whether this node goes by it.
+    pub kinds: Vec<KindNow>,
+    /// Operators' orders.
+    pub orders: Vec<OrderHeld>,
+    /// Servers that are left out on the word of other nodes.
+    pub left_out: Vec<String>,
+    /// Servers that other nodes have seen to be slow, and by how much.
+    pub believed: Vec<(String, f64)>,
+    /// What is known of the other nodes' copies.
+    pub peers: Vec<PeerCopy>,
+    /// Records that a bound has kept out.
+    pub dropped: u64,
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams that were read.
+    pub read: u64,
+    /// Datagrams that could not be read.
+    pub unread: u64,
+    /// All records, as far as there is room to tell them.
+    pub records: Vec<RecordNow>,
+}
+
+/// The records of a kind.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct KindNow {
+    /// Its name.
+    pub kind: String,
+    /// How many are held.
+    pub records: usize,
+    /// Whether this node writes such, and goes by them.
+    pub on: bool,
+}
+
+/// An order that is held in common.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OrderHeld {
+    /// Of which server; of the nodes themselves if there is none.
+    pub server: String,
+    /// What stands.
+    pub action: String,
+    /// At which node it was given.
+    pub node: usize,
+    /// When, Unix time in seconds by that node's clock.
+    pub at: u32,
+    /// How many seconds it holds yet, if it ends by itself.
+    pub seconds_left: Option<f64>,
+    /// It holds nothing, and is kept for what it has lifted.
+    pub tombstone: bool,
+    /// Orders that had not seen it, nor it them, in words.
+    pub beside: Vec<String>,
+    /// They contradict each other: somebody is to order anew.
+    pub conflict: bool,
+}
+
+/// What is known of another's copy.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PeerCopy {
+    /// Its number.
+    pub node: usize,
+    /// It held the same when it was heard of last.
+    pub same: bool,
+    /// It was behind, by its own word.
+    pub behind: bool,
+    /// How long ago that was, in seconds.
+    pub ago_s: f64,
+}
+
+/// A record.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RecordNow {
+    /// By what it is known.
+    pub id: u64,
+    /// Its kind's name.
+    pub kind: String,
+    /// Who wrote it.
+    pub origin: usize,
+    /// In which incarnation, and how manieth there.
+    pub version: (u64, u32),
+    /// A number of what it says.
+    pub sum: u32,
+}
+
 /// A way from one node to another.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -298,19 +432,27 @@
 }
 
 impl Verb {
+    /// How many nodes are to hold the order before it is answered, if that is asked for.
+    pub fn wait_for(&self) -> Option<usize> {
+        match self {
+            Verb::Drain { wait_for, .. } | Verb::Undrain { wait_for, .. } => *wait_for,
+            _ => None,
+        }
+    }
+
     /// The order on a server that it gives, if it is one.
     pub fn order(&self) -> Option<Ask> {
         match self.clone() {
             Verb::Orders | Verb::Servers | Verb::Look | Verb::Watch { .. } | Verb::Events { .. } => None,
-            Verb::Siblings => None,
+            Verb::Siblings | Verb::Replica => None,
             Verb::Reload | Verb::Level { .. } | Verb::Stop | Verb::Leave | Verb::Join | Verb::Diagnose => {
                 None
             }
-            Verb::Drain { server, seconds, lasting, force, seen } => {
+            Verb::Drain { server, seconds, lasting, force, seen, .. } => {
                 let time = |seconds: u64| Order::LeaveOut(seconds.saturating_mul(1_000_000));
                 Some(Ask { server, order: seconds.map_or(Order::Drain, time), lasting, force, seen })
             }
-            Verb::Undrain { server, seen } => {
+            Verb::Undrain { server, seen, .. } => {
                 Some(Ask { server, order: Order::Undrain, lasting: false, force: false, seen })
             }
         }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -2,7 +2,7 @@
 
 mod look;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -33,7 +33,7 @@
 use crate::governor::Governor;
 use crate::list::List;
 use crate::members::Members;
-use crate::message::{Arrival, Fellows, Heritage, Message, Orders};
+use crate::message::{Arrival, Fellows, Heritage, InCommon, ListTold, Message, Orders};
 use crate::portion::Portion;
 use crate::requests::Requests;
 use crate::steering::{ServerNow, Steering};
@@ -136,6 +136,8 @@
     pub portion: Portion,
     /// Where operators may order servers away: the orders that lasted over a restart.
     pub steered: Option<Vec<Kept>>,
+    /// Who is told each list that the node's own source tells.
+    pub lists: Option<UnboundedSender<ListTold>>,
 }
 
 /// What others need to speak to a driver. It runs as long as any of these is left.
@@ -156,6 +158,7 @@
     upstream: U,
     quotas: Option<Admission>,
     steering: Option<Steering>,
+    lists: Option<UnboundedSender<ListTold>>,
     watched: Watched,
     /// Who is there, where nodes speak to one another.
     siblings: Option<Fellows>,
@@ -206,6 +209,7 @@
             setup: options.setup,
             quotas: options.quotas,
             steering: options.steered.map(|kept| Steering::new(clock.now(), kept)),
+            lists: options.lists,
             watched,
             siblings: None,
             clock,
@@ -227,7 +231,7 @@
         };
         driver.timers.insert(Due::Sweep, SWEEP);
         driver.timers.insert(Due::Count, COUNT);
-        driver.list(List { full: true, ..options.known });
+        driver.list_told(List { full: true, ..options.known }, options.version);
         driver.directory.take_news(); // what is known from the start is none
         driver.decide();
         if let Some(learned) = &options.learned {
@@ -271,12 +275,14 @@
             Message::List(list, source, version) => {
                 self.watched.list_told(source);
                 self.version = version;
-                self.list(list);
+                self.list_told(list, version);
             }
             Message::HandOver(answer) => drop(answer.send(self.heritage())), // who asked may have left
             Message::Watch(more) => self.watched.watch(more),
             Message::Fellows(fellows) => self.fellows(fellows),
-            Message::Look(answer) => drop(answer.send(self.look())), // who asked may have left
+            Message::InCommon(what) => self.in_common(what),
+            Message::Sights(answer) => drop(answer.send(self.sights())), // who asked may have left
+            Message::Look(answer) => drop(answer.send(self.look())),     // who asked may have left
             Message::Quotas(new) => {
                 if let Some(quotas) = &mut self.quotas {
                     quotas.reload(*new, self.clock.now());
@@ -376,6 +382,41 @@
         }
     }
 
+    /// A list of the node's own source.
+    fn list_told(&mut self, list: List, version: Option<u64>) {
+        if let Some(lists) = &self.lists {
+            let _ = lists.send(ListTold { list: list.clone(), version }); // who tells others may have ended
+        }
+        self.list(list);
+    }
+
+    /// Goes by what the nodes hold in common.
+    fn in_common(&mut self, what: InCommon) {
+        let (now, steering) = (self.clock.now(), self.steering.as_mut());
+        match (what, steering) {
+            (InCommon::Orders { whole, orders }, Some(steering)) => {
+                let changes = steering.common(now, whole, orders);
+                self.steered(changes);
+            }
+            (InCommon::Hearsay(servers), Some(steering)) => {
+                let changes = steering.hearsay(now, servers);
+                self.steered(changes);
+            }
+            (InCommon::Believed(_), _) | (_, None) => {}
+        }
+    }
+
+    /// What this node has seen of servers by its own requests.
+    fn sights(&self) -> BTreeMap<String, f64> {
+        let names = self.directory.names();
+        let seen = |(id, name): (&ServerId, &&str)| {
+            let view = self.balancer.server(*id)?;
+            let silent = view.silent.is_some_and(|tries| tries > 0);
+            Some(((*name).to_owned(), if silent { f64::INFINITY } else { view.slowness }))
+        };
+        names.iter().filter_map(seen).collect()
+    }
+
     fn list(&mut self, list: List) {
         let list = match &mut self.steering {
             Some(steering) => steering.list(self.clock.now(), list, |kind| self.setup.is_origin(kind)),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,7 +35,7 @@
 pub use flow::{FLOW_LIMIT, Feeder, Flow, Piece, Room, Unwanted};
 pub use list::{Entry, List, State};
 pub use members::Members;
-pub use message::{Fellows, Heritage, Orders, Watching};
+pub use message::{Fellows, Heritage, InCommon, ListTold, Orders, Watching};
 pub use paddlefold::{Learned, Micros, Outcome};
 pub use portion::Portion;
 pub use requests::{InUse, Pending, Requests};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,9 +1,10 @@
 //! What the driver is told, and by whom.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use lilacquay_observe::Snapshot;
-use lilacquay_steer::{Ask, Done, Refusal};
+use lilacquay_steer::{Ask, Common, Done, Refusal};
 use paddlefold::{Learned, RequestId};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -31,6 +32,33 @@
     Watch(bool),
     Look(oneshot::Sender<Snapshot>),
     Fellows(Fellows),
+    InCommon(InCommon),
+    Sights(oneshot::Sender<BTreeMap<String, f64>>),
+}
+
+/// What the nodes hold in common, as far as a core goes by it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum InCommon {
+    /// Operators' orders; `whole` if these are all.
+    Orders {
+        /// Whether one that is missing was lifted.
+        whole: bool,
+        /// By server.
+        orders: Vec<Common>,
+    },
+    /// Servers that other nodes' lists have taken away.
+    Hearsay(BTreeSet<String>),
+    /// How much slower than others servers are, as other nodes have seen them.
+    Believed(BTreeMap<String, f64>),
+}
+
+/// A list that the node's own source has told, for whoever tells other nodes.
+#[derive(Debug, Clone)]
+pub struct ListTold {
+    /// The list, or what has changed in it.
+    pub list: List,
+    /// Its version, where its source has one.
+    pub version: Option<u64>,
 }
 
 /// What a node may use of what all nodes share, and who they are.
@@ -110,6 +138,17 @@
         let _ = self.0.send(Message::Fellows(fellows)); // nobody goes by them once the core has ended
     }
 
+    /// Goes by what the nodes hold in common. A core that was made without steering goes by none of it.
+    pub fn in_common(&self, what: InCommon) {
+        let _ = self.0.send(Message::InCommon(what)); // nobody goes by it once the core has ended
+    }
+
+    /// How much slower than others this node has seen servers to be by its own requests, by name; those that answer
+    /// nothing count as the slowest. A core that has ended answers nothing.
+    pub fn sights(&self) -> oneshot::Receiver<BTreeMap<String, f64>> {
+        self.ask(Message::Sights)
+    }
+
     /// Has figures gathered until this is dropped.
     pub fn watch(&self) -> Watching {
         let _ = self.0.send(Message::Watch(true)); // nobody is watched once the core has ended
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -1,8 +1,8 @@
 //! An operator's orders, between the list of servers and the decision module.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
-use lilacquay_steer::{Ask, Change, Done, Held, Kept, Listed, Refusal, Steer};
+use lilacquay_steer::{Ask, Change, Common, Done, Held, Kept, Listed, Refusal, Steer};
 use paddlefold::Micros;
 
 use crate::list::{Entry, List, State};
@@ -88,6 +88,18 @@
         (done, List { full: false, servers: self.worded(changes) })
     }
 
+    /// Goes by what the nodes hold in common; tells what changes.
+    pub fn common(&mut self, now: Micros, whole: bool, orders: Vec<Common>) -> List {
+        let changes = self.steer.common(now, whole, orders);
+        List { full: false, servers: self.worded(changes) }
+    }
+
+    /// Leaves servers out on the word of other nodes; tells what changes.
+    pub fn hearsay(&mut self, now: Micros, servers: BTreeSet<String>) -> List {
+        let changes = self.steer.hearsay(now, servers);
+        List { full: false, servers: self.worded(changes) }
+    }
+
     /// The orders that hold.
     pub fn holding(&self, now: Micros) -> Holding {
         let orders = self.steer.orders().map(|(server, held)| (server.to_owned(), held)).collect();
--- a/crates/core/tests/steering.rs
+++ b/crates/core/tests/steering.rs
@@ -75,6 +75,7 @@
             learned: None,
             portion,
             steered,
+            lists: None,
         };
         let (to, asked) = mpsc::unbounded_channel();
         let (driver, Handles { requests, members, orders }) = Driver::new(options, Scripted(to));
@@ -145,7 +146,7 @@
 
 #[tokio::test]
 async fn orders_that_last_hold_from_the_first_list_on_and_without_steering_none_is_obeyed() {
-    let mut stage = Stage::new(Some(vec![Kept { server: "s2".into(), left: None }]));
+    let mut stage = Stage::new(Some(vec![Kept { server: "s2".into(), left: None, mark: None }]));
     assert_eq!(stage.fifty().await, [50, 0]);
     let stage = Stage::new(None);
     let ask = Ask { server: "s1".into(), order: Order::Drain, lasting: false, force: false, seen: None };
--- a/crates/fleet/src/trial.rs
+++ b/crates/fleet/src/trial.rs
@@ -4,7 +4,7 @@
 
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
@@ -150,6 +150,18 @@
     pub seed: u64,
     /// What they all serve.
     pub fleet: Plan,
+    /// What they hold in common, as `common` of their options names it; what those say of themselves if it is not named.
+    pub common: Option<Vec<&'static str>>,
+    /// These have a discovery that answers nothing: they go by the list that they start with.
+    pub deaf: Vec<usize>,
+}
+
+impl TrialPlan {
+    /// Of so many siblings, with nothing else out of the ordinary.
+    pub fn new(program: PathBuf, nodes: usize, seed: u64) -> TrialPlan {
+        let fleet = Plan { seed, ..Plan::default() };
+        TrialPlan { program, nodes, siblings: true, seed, fleet, common: None, deaf: Vec::new() }
+    }
 }
 
 struct Process {
@@ -169,6 +181,8 @@
     notes: Notes,
     clock: Clock,
     _relay: Relay,
+    /// Listens, and answers nothing.
+    _silence: TcpListener,
 }
 
 impl Trial {
@@ -183,6 +197,7 @@
         let nodes: Vec<SocketAddr> = (0..plan.nodes).map(|node| place(number, node)).collect();
         let ways = Arc::new(Ways::new(plan.nodes, plan.seed));
         let relay = Relay::start(nodes.clone(), ways.clone())?;
+        let silence = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let mut processes = Vec::new();
         for node in 0..plan.nodes {
             let folder = folder.join(format!("node-{node}"));
@@ -191,14 +206,18 @@
             let mut configuration: Value =
                 serde_json::from_str(&fleet.configuration(listen, 512)).map_err(io::Error::other)?;
             configuration["settings"]["Siblings"] = json!(plan.nodes);
+            if plan.deaf.contains(&node) {
+                configuration["discovery"] = json!(silence.local_addr()?.to_string());
+            }
             configuration["seed"] = json!(format!("{:x}", plan.seed ^ (node as u64) << 32));
             fs::write(folder.join("node.json"), configuration.to_string())?;
             let mut seen: Vec<String> =
                 relay.seen_by[node].iter().map(|addr| format!("\"{addr}\"")).collect();
             seen[node] = format!("\"{}\"", nodes[node]);
+            let common = plan.common.as_ref().map_or(String::new(), |kinds| format!("common = {kinds:?}\n"));
             let siblings = match plan.siblings {
                 true => format!(
-                    "[siblings]\nsite = \"trial\"\nlisten = \"{}\"\nme = {node}\nnodes = [{}]\n",
+                    "[siblings]\nsite = \"trial\"\nlisten = \"{}\"\nme = {node}\nnodes = [{}]\n{common}",
                     nodes[node],
                     seen.join(", ")
                 ),
@@ -208,7 +227,17 @@
             fs::write(folder.join("serve.toml"), options)?;
             processes.push(Process { child: None, folder, listen });
         }
-        let mut trial = Trial { fleet, plan, processes, addresses: nodes, ways, notes, clock, _relay: relay };
+        let mut trial = Trial {
+            fleet,
+            plan,
+            processes,
+            addresses: nodes,
+            ways,
+            notes,
+            clock,
+            _relay: relay,
+            _silence: silence,
+        };
         let all: Vec<usize> = (0..trial.plan.nodes).collect();
         trial.start_nodes(&all)?;
         Ok(trial)
@@ -297,15 +326,29 @@
         Ok(())
     }
 
-    /// What a node sees of the others, as its control socket tells it; nothing if it doesn't answer.
-    pub fn sight(&self, node: usize) -> Option<Value> {
-        let mut stream = UnixStream::connect(self.processes[node].folder.join("state/control.sock")).ok()?;
+    /// A node's state folder.
+    pub fn state_folder(&self, node: usize) -> PathBuf {
+        self.processes[node].folder.join("state")
+    }
+
+    /// What a node answers at its control socket; nothing if it doesn't answer.
+    pub fn ask(&self, node: usize, question: &Value) -> Option<Value> {
+        let mut stream = UnixStream::connect(self.state_folder(node).join("control.sock")).ok()?;
         stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        stream.write_all(b"{\"v\":2,\"ask\":\"siblings\"}\n").ok()?;
+        stream.write_all(format!("{question}\n").as_bytes()).ok()?;
         let mut line = String::new();
         BufReader::new(stream).read_line(&mut line).ok()?;
-        let answer: Value = serde_json::from_str(&line).ok()?;
-        answer.get("sight").cloned()
+        serde_json::from_str(&line).ok()
+    }
+
+    /// What a node sees of the others, as its control socket tells it; nothing if it doesn't answer.
+    pub fn sight(&self, node: usize) -> Option<Value> {
+        self.ask(node, &json!({ "v": 2, "ask": "siblings" }))?.get("sight").cloned()
+    }
+
+    /// A node's copy of what all hold in common; nothing if it doesn't answer, or holds none.
+    pub fn copy(&self, node: usize) -> Option<Value> {
+        self.ask(node, &json!({ "v": 2, "ask": "replica" }))?.get("copy").cloned()
     }
 
     /// What one node holds another to be: `here`, `gone` or `unknown`.
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -149,6 +149,7 @@
             learned: None,
             portion: Portion::default(),
             steered: None,
+            lists: None,
         };
         let (driver, Handles { requests, members, .. }) = Driver::new(options, Scripted(to));
         let gauges = driver.gauges();
--- a/crates/lilacquay/src/cli.rs
+++ b/crates/lilacquay/src/cli.rs
@@ -58,6 +58,8 @@
     Diagnose(ControlArgs),
     /// Show what a running node sees of the other nodes: who is here, gone or not known, and who hears whom
     Siblings(ControlArgs),
+    /// Show what a running node holds of what all nodes hold in common: orders, conflicts, who is behind
+    Replica(ReplicaArgs),
     /// Show the orders that hold at a running node
     Orders(ControlArgs),
     /// Take a server out of service at a running node: it finishes what it has and gets nothing new
@@ -76,6 +78,30 @@
     pub json: bool,
 }
 
+#[derive(Args)]
+#[command(subcommand_negates_reqs = true)]
+pub struct ReplicaArgs {
+    /// The node's state folder
+    #[arg(long, value_name = "FOLDER", required = true)]
+    pub state: Option<PathBuf>,
+    /// Print the answer in JSON, which `diff` takes as well
+    #[arg(long)]
+    pub json: bool,
+    #[command(subcommand)]
+    pub order: Option<ReplicaOrder>,
+}
+
+#[derive(Subcommand)]
+pub enum ReplicaOrder {
+    /// Show in which records the copies of two nodes differ
+    Diff {
+        /// A state folder, or a file with what `replica --json` has printed
+        one: PathBuf,
+        /// Another
+        other: PathBuf,
+    },
+}
+
 #[derive(Args)]
 pub struct ApplianceArgs {
     /// The appliance's file, in TOML; deploy/appliance.toml documents it
@@ -126,6 +152,9 @@
 pub struct LevelArgs {
     /// From which level on
     pub level: String,
+    /// At all nodes, where they hold orders in common
+    #[arg(long)]
+    pub everywhere: bool,
     #[command(flatten)]
     pub control: ControlArgs,
 }
@@ -151,6 +180,9 @@
     /// Only if the server's latest order has this number, 0 for none
     #[arg(long, value_name = "NUMBER")]
     pub seen: Option<u64>,
+    /// Stay until so many nodes hold the order, where they hold orders in common; 3 s at most
+    #[arg(long, value_name = "NODES")]
+    pub wait_for: Option<usize>,
 }
 
 #[derive(Args)]
@@ -162,6 +194,9 @@
     /// Only if the server's latest order has this number
     #[arg(long, value_name = "NUMBER")]
     pub seen: Option<u64>,
+    /// Stay until so many nodes hold the order, where they hold orders in common; 3 s at most
+    #[arg(long, value_name = "NODES")]
+    pub wait_for: Option<usize>,
 }
 
 #[derive(Args)]
--- /dev/null
+++ b/crates/lilacquay/src/common.rs
@@ -0,0 +1,487 @@
+//! What the nodes hold in common, at this node: what it says of its own, and what it goes by of the others'. All that is
+//! decided of it, the package `replica` decides.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use lilacquay_codec::replica::{Part, Record, Said, Sent, put, read};
+use lilacquay_control::{Command, CommonOrder, CopyNow, HeldBy, KindNow, OrderHeld, PeerCopy, RecordNow};
+use lilacquay_core::{InCommon, ListTold, Micros, Orders, State};
+use lilacquay_replica::orders::{Action, KEPT, Order, Standing};
+use lilacquay_replica::words::{self, Ended, Listed, OwnList};
+use lilacquay_replica::{Out, Replica, Setup, Stage, evidence, kind};
+use lilacquay_steer::{Ask, Hold, Kept, Order as Asked};
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
+
+use crate::section::Section;
+
+/// An order is answered once all that are here hold it, after so long at the latest; ...
+const ANSWERED: Micros = 500_000;
+/// ... and if a number is asked for, after so long.
+const WAITED: Micros = 3_000_000;
+/// How often what this node has seen of servers is asked for.
+const SEEN: Micros = 1_000_000;
+/// Records that are told one by one.
+const TOLD: usize = 2_000;
+/// The levels of the log, by their numbers.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// Which kinds a node writes and goes by. Records of others it keeps and passes on all the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Kinds {
+    pub orders: bool,
+    pub words: bool,
+    pub evidence: bool,
+}
+
+impl Kinds {
+    /// On the platform: what was measured to gain something there.
+    pub const PLATFORM: Kinds = Kinds { orders: false, words: false, evidence: false };
+    const NAMES: &[&str] = &["orders", "words", "evidence"];
+
+    /// Reads `common`; orders and words if there is none.
+    pub fn read(section: &mut Section) -> Kinds {
+        if !section.has("common") {
+            return Kinds { orders: true, words: true, evidence: false };
+        }
+        let mut kinds = Kinds::default();
+        for (place, name) in section.texts("common").unwrap_or_default() {
+            match name {
+                "orders" => kinds.orders = true,
+                "words" => kinds.words = true,
+                "evidence" => kinds.evidence = true,
+                other => {
+                    let mend = format!("name some of {}", Kinds::NAMES.join(", "));
+                    section.note(place, "common", format!("{other:?} is no such kind"), &mend);
+                }
+            }
+        }
+        kinds
+    }
+
+    pub fn any(&self) -> bool {
+        self.orders || self.words || self.evidence
+    }
+
+    fn has(&self, of: u8) -> bool {
+        match of {
+            kind::ORDER => self.orders,
+            kind::WORD => self.words,
+            kind::EVIDENCE => self.evidence,
+            _ => false,
+        }
+    }
+}
+
+fn name_of(kind: u8) -> String {
+    match kind {
+        kind::ORDER => "order".into(),
+        kind::WORD => "word".into(),
+        kind::EVIDENCE => "evidence".into(),
+        other => format!("kind {other}"),
+    }
+}
+
+/// An order in common, as it is kept over a restart or over another list of nodes.
+#[derive(Debug, Clone)]
+pub struct KeptOrder {
+    record: Record,
+    left: Option<Micros>,
+}
+
+impl KeptOrder {
+    /// Of an order that lasted, if it is one in common.
+    pub fn of(kept: &Kept) -> Option<KeptOrder> {
+        let record = of_mark(kept.mark.as_deref()?)?;
+        Some(KeptOrder { record, left: kept.left.map(|left| left + KEPT) })
+    }
+}
+
+/// A record as text.
+fn mark(record: &Record) -> String {
+    let mut said = Said::default();
+    said.add(Part::Record(Sent { record: record.clone(), left: None, asks: false }));
+    put(0, &said).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn of_mark(text: &str) -> Option<Record> {
+    let byte = |at: usize| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
+    let bytes: Option<Vec<u8>> = (0..text.len()).step_by(2).map(byte).collect();
+    match read(0, &bytes?).ok()?.parts.pop()? {
+        Part::Record(sent) => Some(sent.record),
+        _ => None,
+    }
+}
+
+/// Goes by a list of the node's own source; tells what it has taken away.
+pub fn list(own: &mut OwnList, told: ListTold) -> Vec<Ended> {
+    let listed = |entry: lilacquay_core::Entry| {
+        let listed =
+            Listed { serves: entry.state == State::Serving, started_ms: entry.started_ms.max(0.0) as u64 };
+        (entry.id, (entry.state != State::Deleted).then_some(listed))
+    };
+    own.told(told.list.full, told.version, told.list.servers.into_iter().map(listed))
+}
+
+/// Whoever waits for an order to be held.
+struct Waiting {
+    id: u64,
+    subject: Vec<u8>,
+    wanted: Option<usize>,
+    since: Micros,
+    until: Micros,
+    answer: oneshot::Sender<Option<HeldBy>>,
+}
+
+/// What is held in common.
+pub struct Common {
+    replica: Replica,
+    setup: Setup,
+    kinds: Kinds,
+    core: Orders,
+    commands: mpsc::Sender<Command>,
+    waiting: Vec<Waiting>,
+    here: usize,
+    stage: Option<Stage>,
+    level: Option<u8>,
+    conflicts: BTreeSet<Vec<u8>>,
+    left_out: BTreeSet<String>,
+    believed: BTreeMap<String, f64>,
+    /// Kinds that have changed, and whether the node's own list has.
+    changed: BTreeSet<u8>,
+    seen: Option<oneshot::Receiver<BTreeMap<String, f64>>>,
+    seen_at: Micros,
+}
+
+impl Common {
+    pub fn new(
+        setup: Setup,
+        kinds: Kinds,
+        now: Micros,
+        core: Orders,
+        commands: mpsc::Sender<Command>,
+    ) -> Common {
+        Common {
+            replica: Replica::new(setup.clone(), now),
+            setup,
+            kinds,
+            core,
+            commands,
+            waiting: Vec::new(),
+            here: 0,
+            stage: None,
+            level: None,
+            conflicts: BTreeSet::new(),
+            left_out: BTreeSet::new(),
+            believed: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            seen: None,
+            seen_at: now,
+        }
+    }
+
+    /// Takes back what was kept.
+    pub fn restore(&mut self, now: Micros, kept: Vec<KeptOrder>) {
+        for KeptOrder { record, left } in kept {
+            self.replica.restore(now, record, left);
+        }
+    }
+
+    /// The orders, to be kept over another list of nodes.
+    pub fn kept(&self, now: Micros) -> Vec<KeptOrder> {
+        let kept = |held: &lilacquay_replica::Held| KeptOrder {
+            record: held.record.clone(),
+            left: held.until.map(|until| until.saturating_sub(now)),
+        };
+        self.replica.of_kind(kind::ORDER).map(kept).collect()
+    }
+
+    pub fn due(&self) -> Micros {
+        self.replica.due()
+    }
+
+    pub fn heard(&mut self, now: Micros, from: usize, datagram: &[u8]) -> Vec<Out> {
+        let out = self.replica.heard(now, from, datagram);
+        self.answer_waiting(now);
+        out
+    }
+
+    pub fn tick(&mut self, now: Micros, own: &OwnList) -> Vec<Out> {
+        if self.kinds.evidence {
+            self.see(now);
+        }
+        let out = self.replica.tick(now);
+        if own.is_empty() {
+            self.changed.remove(&kind::WORD);
+        }
+        self.answer_waiting(now);
+        out
+    }
+
+    /// Says what this node has seen of servers, and asks the core for the next look.
+    fn see(&mut self, now: Micros) {
+        if let Some(Ok(seen)) = self.seen.as_mut().map(oneshot::Receiver::try_recv) {
+            let seen = seen.into_iter().map(|(server, slowness)| evidence::Seen { server, slowness });
+            evidence::say(&mut self.replica, now, self.setup.me as u16, seen.collect());
+            self.seen = None;
+        }
+        if now >= self.seen_at + SEEN {
+            (self.seen, self.seen_at) = (Some(self.core.sights()), now);
+        }
+    }
+
+    /// Who is here; `back`: this node was cut off, or paused for longer than a lease.
+    pub fn set_here(&mut self, now: Micros, here: Vec<usize>, back: bool) {
+        self.here = here.len();
+        self.replica.set_here(here);
+        if back {
+            self.replica.fell_behind(now);
+        }
+    }
+
+    /// The node's own list has changed.
+    pub fn list(&mut self, now: Micros, own: &OwnList, ended: &[Ended]) {
+        if self.kinds.words {
+            words::say(&mut self.replica, now, own, ended);
+            self.changed.insert(kind::WORD);
+        }
+    }
+
+    /// Has all nodes hold an order.
+    pub fn order(
+        &mut self,
+        now: Micros,
+        order: &CommonOrder,
+        wanted: Option<usize>,
+        answer: oneshot::Sender<Option<HeldBy>>,
+    ) {
+        let (subject, action, life) = match order {
+            CommonOrder::Server(Ask { server, order, .. }) => match order {
+                Asked::Drain => (server.as_bytes(), Action::Drain, None),
+                Asked::LeaveOut(time) => (server.as_bytes(), Action::LeaveOut, Some(*time)),
+                Asked::Undrain => (server.as_bytes(), Action::Undrain, None),
+            },
+            CommonOrder::Level(level) => {
+                let level = LEVELS.iter().position(|name| name == level).unwrap_or(2);
+                (&b""[..], Action::Level(level as u8), None)
+            }
+        };
+        let stands = self.replica.orders(now).any(|(standing, _)| standing.subject == subject);
+        if !self.kinds.orders || action == Action::Undrain && !stands {
+            let _ = answer.send(None); // who asked may have left
+            return;
+        }
+        if let Action::Level(level) = action {
+            self.level = Some(level); // it is obeyed here already
+        }
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs() as u32;
+        match self.replica.order(now, subject, action, life, at) {
+            Ok(id) => {
+                let until = now + if wanted.is_some() { WAITED } else { ANSWERED };
+                let subject = subject.into();
+                self.waiting.push(Waiting { id, subject, wanted, since: now, until, answer });
+            }
+            Err(_) => {
+                warn!(
+                    "common: too many orders are held, or the name is too long: this one is held here alone"
+                );
+                let _ = answer.send(None); // who asked may have left
+            }
+        }
+    }
+
+    fn answer_waiting(&mut self, now: Micros) {
+        let of = self.here + 1;
+        let held = |waiting: &Waiting| self.replica.holders(waiting.id);
+        let (done, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|waiting| now >= waiting.until || held(waiting) >= waiting.wanted.unwrap_or(of));
+        self.waiting = waiting;
+        for Waiting { id, subject, since, answer, .. } in done {
+            let standing = self.replica.orders(now).find(|(standing, _)| standing.subject == subject);
+            let conflict = standing.is_some_and(|(standing, _)| standing.is_conflict());
+            let after_ms = (now - since) / 1_000;
+            let nodes = self.replica.holders(id);
+            let _ = answer.send(Some(HeldBy { nodes, of: of.max(nodes), after_ms, conflict })); // who asked may have left
+        }
+    }
+
+    /// Tells the rest of the node what it goes by, where that has changed.
+    pub fn tell(&mut self, now: Micros, own: &OwnList) {
+        self.changed.extend(self.replica.changed());
+        let stage = self.replica.stage();
+        if self.stage != Some(stage) {
+            match (stage, self.stage) {
+                (Stage::Level(_), Some(Stage::Behind(since))) => {
+                    info!(
+                        ms = (now - since) / 1_000,
+                        records = self.replica.len(),
+                        "common: this node is level"
+                    )
+                }
+                (Stage::Behind(_), Some(_)) => {
+                    info!("common: this node was away; it asks what it has missed")
+                }
+                _ => {}
+            }
+            self.stage = Some(stage);
+            self.changed.insert(kind::ORDER);
+        }
+        for of in std::mem::take(&mut self.changed) {
+            match of {
+                kind::ORDER if self.kinds.orders => self.tell_orders(now),
+                kind::WORD if self.kinds.words => self.tell_words(own),
+                kind::EVIDENCE if self.kinds.evidence => {
+                    let believed = evidence::believed(&self.replica, self.setup.me as u16);
+                    if believed != self.believed {
+                        self.core.in_common(InCommon::Believed(believed.clone()));
+                        self.believed = believed;
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn tell_orders(&mut self, now: Micros) {
+        let (mut orders, mut conflicts, mut level) = (Vec::new(), BTreeSet::new(), None);
+        for (standing, left) in self.replica.orders(now) {
+            if standing.is_conflict() {
+                conflicts.insert(standing.subject.to_vec());
+            }
+            if let Action::Level(number) = standing.order.action {
+                level = Some(number);
+            }
+            let Some(hold) = hold(standing.order, now, left) else { continue };
+            let Ok(server) = String::from_utf8(standing.subject.to_vec()) else { continue };
+            let Some(held) = self.replica.record(standing.id) else { continue };
+            orders.push(lilacquay_steer::Common { server, hold, mark: mark(&held.record) });
+        }
+        for subject in conflicts.difference(&self.conflicts) {
+            warn!(
+                server = String::from_utf8_lossy(subject).as_ref(),
+                "common: orders that had not seen each other contradict; the drain stands until somebody orders anew"
+            );
+        }
+        self.conflicts = conflicts;
+        let whole = matches!(self.replica.stage(), Stage::Level(_));
+        self.core.in_common(InCommon::Orders { whole, orders });
+        if let Some(number) = level.filter(|_| level != self.level) {
+            self.level = level;
+            let name = LEVELS[usize::from(number).min(LEVELS.len() - 1)];
+            info!("common: all nodes log from {name} on, by an order given at another");
+            let _ = self.commands.try_send(Command::Level(name.into(), oneshot::channel().0)); // nobody waits
+        }
+    }
+
+    fn tell_words(&mut self, own: &OwnList) {
+        let left_out = words::left_out(&self.replica, self.setup.me as u16, own);
+        if left_out == self.left_out {
+            return;
+        }
+        for server in left_out.difference(&self.left_out) {
+            info!(server, "common: other nodes' lists say that it drains or is gone; it is left out here");
+        }
+        self.core.in_common(InCommon::Hearsay(left_out.clone()));
+        self.left_out = left_out;
+    }
+
+    /// What is held, in words.
+    pub fn look(&self, now: Micros) -> CopyNow {
+        let ago = |at: Micros| now.saturating_sub(at) as f64 / 1e6;
+        let (stage, since) = match self.replica.stage() {
+            Stage::Behind(since) => ("behind", since),
+            Stage::Level(since) => ("level", since),
+        };
+        let (root, counts) = (self.replica.root(), self.replica.counts());
+        let mut numbers: BTreeMap<u8, usize> =
+            [kind::ORDER, kind::WORD, kind::EVIDENCE].map(|of| (of, 0)).into();
+        for (_, _, held) in self.replica.all() {
+            *numbers.entry(held.record.kind).or_default() += 1;
+        }
+        let of_kind =
+            |(of, records): (u8, usize)| KindNow { kind: name_of(of), records, on: self.kinds.has(of) };
+        let record = |(id, sum, held): (u64, u32, &lilacquay_replica::Held)| RecordNow {
+            id,
+            kind: name_of(held.record.kind),
+            origin: held.record.origin.into(),
+            version: (held.record.version.incarnation, held.record.version.counter),
+            sum,
+        };
+        CopyNow {
+            me: self.setup.me,
+            nodes: self.setup.nodes,
+            stage: stage.into(),
+            since_s: ago(since),
+            root: format!("{root:08x}"),
+            kinds: numbers.into_iter().map(of_kind).collect(),
+            orders: self.replica.orders(now).map(|(standing, left)| told(&standing, left)).collect(),
+            left_out: self.left_out.iter().cloned().collect(),
+            believed: self.believed.clone().into_iter().collect(),
+            peers: self
+                .replica
+                .peers()
+                .iter()
+                .map(|(&node, peer)| PeerCopy {
+                    node,
+                    same: peer.root == root,
+                    behind: peer.behind,
+                    ago_s: ago(peer.at),
+                })
+                .collect(),
+            dropped: counts.dropped,
+            sent: counts.sent,
+            sent_bytes: counts.sent_bytes,
+            read: counts.read,
+            unread: counts.unread,
+            records: self.replica.all().take(TOLD).map(record).collect(),
+        }
+    }
+}
+
+/// How an order holds its server, if it does.
+fn hold(order: &Order, now: Micros, left: Option<Micros>) -> Option<Hold> {
+    match order.action {
+        _ if order.is_tombstone(left) => None,
+        Action::Drain => Some(Hold::Drain),
+        Action::LeaveOut => Some(Hold::LeftOut(now + left?.saturating_sub(KEPT))),
+        Action::Undrain | Action::Level(_) => None,
+    }
+}
+
+/// An order, in words.
+fn told(standing: &Standing, left: Option<Micros>) -> OrderHeld {
+    let Standing { subject, order, beside, .. } = standing;
+    let tombstone = order.is_tombstone(left);
+    let lasts = left.filter(|_| !tombstone).map(|left| left.saturating_sub(KEPT) as f64 / 1e6);
+    let word =
+        |order: &&Order| format!("{} by node {} at {}", order.action.word(), order.dot.origin, order.at);
+    OrderHeld {
+        server: String::from_utf8_lossy(subject).into(),
+        action: order.action.word(),
+        node: order.dot.origin.into(),
+        at: order.at,
+        seconds_left: lasts,
+        tombstone,
+        beside: beside.iter().map(word).collect(),
+        conflict: standing.is_conflict(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use lilacquay_codec::replica::Version;
+
+    use super::*;
+
+    #[test]
+    fn a_record_goes_through_its_mark_and_what_is_none_is_nothing() {
+        let version = Version { incarnation: 7 << 40, counter: 3 };
+        let record = Record { kind: 1, origin: 9, name: vec![1; 10], version, value: vec![2; 140] };
+        assert_eq!(of_mark(&mark(&record)), Some(record));
+        for bad in ["", "zz", "4c", "é", &"00".repeat(300)] {
+            assert_eq!(of_mark(bad), None, "{bad}");
+        }
+    }
+}
--- a/crates/lilacquay/src/control.rs
+++ b/crates/lilacquay/src/control.rs
@@ -29,7 +29,7 @@
 }
 
 pub fn level(args: LevelArgs) -> ExitCode {
-    code(ask(&args.control, Verb::Level { level: args.level }))
+    code(ask(&args.control, Verb::Level { level: args.level, everywhere: args.everywhere }))
 }
 
 /// Shows events; with `--follow` until it is ended, or the node is.
@@ -84,14 +84,15 @@
 }
 
 pub fn undrain(args: UndrainArgs) -> ExitCode {
-    let UndrainArgs { server, control, seen } = args;
-    code(ask(&control, Verb::Undrain { server, seen }))
+    let UndrainArgs { server, control, seen, wait_for } = args;
+    code(ask(&control, Verb::Undrain { server, seen, wait_for }))
 }
 
 pub fn drain(args: DrainArgs) -> ExitCode {
-    let DrainArgs { server, control, time, lasting, force, wait, seen } = args;
+    let DrainArgs { server, control, time, lasting, force, wait, seen, wait_for } = args;
     let seconds = time.map(|time| time.as_secs_f64().ceil() as u64);
-    let obeyed = ask(&control, Verb::Drain { server: server.clone(), seconds, lasting, force, seen });
+    let verb = Verb::Drain { server: server.clone(), seconds, lasting, force, seen, wait_for };
+    let obeyed = ask(&control, verb);
     match obeyed {
         Ok(()) if wait => code(until_free(&control, &server)),
         other => code(other),
@@ -155,24 +156,40 @@
 
 /// Asks, and prints the answer.
 fn ask(args: &ControlArgs, verb: Verb) -> Result<(), Failure> {
+    let wanted = verb.wait_for();
     let answer = answer(args, verb)?;
     if args.json {
         println!("{}", serde_json::to_string(&answer).unwrap_or_default());
     }
-    match answer {
-        Answer::Refused { why } => return Err(Failure::Refused(why)),
+    match &answer {
+        Answer::Refused { why } => return Err(Failure::Refused(why.clone())),
         _ if args.json => {}
-        other => print(&other),
+        other => print(other),
+    }
+    match (wanted, &answer) {
+        (Some(wanted), Answer::Obeyed { held, .. }) if held.is_none_or(|held| held.nodes < wanted) => {
+            let held =
+                held.map_or("this node alone holds it".into(), |held| format!("{} hold it", held.nodes));
+            Err(Failure::Other(format!(
+                "it is obeyed, but not yet by {wanted} nodes: {held}; look at `replica`"
+            )))
+        }
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 fn print(answer: &Answer) {
     match answer {
         Answer::Orders { orders } if orders.is_empty() => println!("no orders hold"),
         Answer::Orders { orders } => orders.iter().for_each(|order| println!("{}", words(order))),
-        Answer::Obeyed { number, replaced, unrecorded } => {
+        Answer::Obeyed { number, replaced, unrecorded, held } => {
             println!("obeyed as order {number}");
+            if let Some(held) = held {
+                println!("held by {} of {} nodes after {} ms", held.nodes, held.of, held.after_ms);
+                if held.conflict {
+                    println!("another order that had not seen this one contradicts it: look at `replica`");
+                }
+            }
             if let Some(replaced) = replaced {
                 println!("in place of: {}", words(replaced));
             }
@@ -184,6 +201,7 @@
         }
         Answer::Snapshot { snapshot } => overview(snapshot),
         Answer::Siblings { sight } => fellows(sight),
+        Answer::Replica { copy } => crate::replica::print(copy),
         Answer::Done { what, unrecorded } => {
             println!("{}", what.escape_debug());
             if let Some(why) = unrecorded {
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -4,6 +4,7 @@
 mod appliance;
 mod check;
 mod cli;
+mod common;
 mod config;
 mod control;
 mod etcd;
@@ -18,6 +19,7 @@
 mod node;
 mod options;
 mod quota;
+mod replica;
 mod restart;
 mod script;
 mod section;
@@ -57,6 +59,7 @@
         Some(Command::Stop(args)) => control::node(&args, Verb::Stop),
         Some(Command::Diagnose(args)) => control::node(&args, Verb::Diagnose),
         Some(Command::Siblings(args)) => control::siblings(&args),
+        Some(Command::Replica(args)) => replica::run(&args),
         Some(Command::Orders(args)) => control::orders(&args),
         Some(Command::Drain(args)) => control::drain(args),
         Some(Command::Undrain(args)) => control::undrain(args),
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -14,6 +14,7 @@
 use lilacquay_fronts::resp::Resp;
 use lilacquay_life::Event;
 use lilacquay_members::{discovery, etcd};
+use lilacquay_replica::words::OwnList;
 use lilacquay_upstreams::Servers;
 use paddlefold::setup::Names;
 use tokio::net::TcpListener;
@@ -25,6 +26,7 @@
 use tracing::{info, warn};
 
 use crate::admin::Desk;
+use crate::common::KeptOrder;
 use crate::config::{Config, Source};
 use crate::etcd::Etcd;
 use crate::handover::{self, Place};
@@ -101,6 +103,12 @@
     };
     let version = version.filter(|_| !known.servers.is_empty());
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
+    let (to_lists, lists) = mpsc::unbounded_channel();
+    let in_common = config.siblings.as_ref().is_some_and(|site| site.common.any());
+    // Orders in common that lasted are told to the others again.
+    let kept = steered.iter().flatten().filter_map(KeptOrder::of).collect();
+    // Where other nodes may have a server left out, the list is steered, whether or not operators do it here.
+    let steered = steered.or(in_common.then(Vec::new));
     let options = Options {
         setup: config.setup.clone(),
         seed: config.seed,
@@ -113,6 +121,7 @@
         learned: received.learned,
         portion: portion.clone(),
         steered,
+        lists: in_common.then_some(to_lists),
     };
     let names = config.setup.names.clone();
     let kinds = config.memcached.as_ref().map(|(_, ready)| ready.kinds.clone());
@@ -131,7 +140,8 @@
     let kin = config.siblings.clone().map(|site| {
         let (to, site) = watch::channel(site);
         let (orders, nodes, keeper) = (orders.clone(), nodes.clone(), keeper.clone());
-        parts.spawn(Ties { orders, nodes, keeper, asks, site, seed: config.seed }.run());
+        let (commands, own, seed) = (to_node.clone(), OwnList::default(), config.seed);
+        parts.spawn(Ties { orders, nodes, keeper, asks, site, seed, lists, commands, kept, own }.run());
         to
     });
     if let Some(state) = state {
--- a/crates/lilacquay/src/siblings.rs
+++ b/crates/lilacquay/src/siblings.rs
@@ -7,17 +7,20 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use lilacquay_codec::replica;
 use lilacquay_codec::siblings::{LONGEST, site};
-use lilacquay_control::{FellowNow, Sight, WayNow};
-use lilacquay_core::{Clock, Fellows, Micros, Orders};
+use lilacquay_control::{Command, FellowNow, SiblingsAsk, Sight, WayNow};
+use lilacquay_core::{Clock, Fellows, ListTold, Micros, Orders};
 use lilacquay_life::State as Life;
+use lilacquay_replica::words::OwnList;
 use lilacquay_siblings::{Change, Fellow, Out, Setup, Siblings, State, Terms, Why};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tracing::{error, info, warn};
 
+use crate::common::{self, Common, KeptOrder, Kinds};
 use crate::keeper::Keeper;
 use crate::section::Section;
 
@@ -43,6 +46,8 @@
     pub nodes: Vec<SocketAddr>,
     /// This node's number.
     pub me: usize,
+    /// What they hold in common.
+    pub common: Kinds,
 }
 
 impl Site {
@@ -55,7 +60,7 @@
         name: String,
     ) -> Option<Site> {
         let (listen, me) = (listen.filter(|_| allowed)?, me?);
-        let site = Site { name, listen, nodes, me };
+        let site = Site { name, listen, nodes, me, common: Kinds::PLATFORM };
         let good = site.nodes.len() > 1 && site.nodes.len() <= MOST && me < site.nodes.len();
         (good && site.twice().is_none()).then_some(site)
     }
@@ -66,7 +71,7 @@
             return None;
         }
         let mut section = root.section("siblings");
-        section.only(&["site", "listen", "nodes", "me"]);
+        section.only(&["site", "listen", "nodes", "me", "common"]);
         for (key, mend) in [
             ("site", "name the site, the same at all its nodes"),
             ("listen", "give the address on which the others' datagrams come"),
@@ -96,7 +101,8 @@
             section.note(place, "nodes", "too few or too many", "list 2 to 65535 nodes, this one among them");
         }
         let me = section.number("me", 0..=nodes.len().saturating_sub(1));
-        let site = Site { name: name?, listen: listen?, nodes, me: me? };
+        let common = Kinds::read(&mut section);
+        let site = Site { name: name?, listen: listen?, nodes, me: me?, common };
         if let Some(twice) = site.twice() {
             section.note(place, "nodes", format!("{twice} stands there twice"), "list each node once");
         }
@@ -109,8 +115,8 @@
     }
 }
 
-/// Whoever asks what the node sees.
-pub type Asks = mpsc::Receiver<oneshot::Sender<Sight>>;
+/// Whoever asks what the node sees, or has all nodes hold an order.
+pub type Asks = mpsc::Receiver<SiblingsAsk>;
 
 /// What a node tells its siblings' task, and is told by it.
 pub struct Ties {
@@ -123,6 +129,14 @@
     /// The site, as the configuration has it now.
     pub site: watch::Receiver<Site>,
     pub seed: u64,
+    /// The lists that the node's own source tells.
+    pub lists: mpsc::UnboundedReceiver<ListTold>,
+    /// Who carries out orders on the node itself.
+    pub commands: mpsc::Sender<Command>,
+    /// Orders in common that lasted over a restart, or over another list of nodes.
+    pub kept: Vec<KeptOrder>,
+    /// What the node's own list says.
+    pub own: OwnList,
 }
 
 impl Ties {
@@ -133,7 +147,7 @@
             match UdpSocket::bind(site.listen).await {
                 Ok(socket) => {
                     info!("siblings: node {} of {} listens on {}", site.me, site.nodes.len(), site.listen);
-                    Kin::new(site, socket, &self).run(&mut self).await;
+                    Kin::new(site, socket, &mut self).run(&mut self).await;
                 }
                 Err(error) => {
                     warn!("siblings: cannot listen on {}: {error}; tried again in a second", site.listen);
@@ -154,10 +168,14 @@
     /// Datagrams from addresses that are no node's.
     unlisted: u64,
     told: Option<Fellows>,
+    /// What is held in common, if anything is.
+    common: Option<Common>,
+    /// Whether enough of the others confirmed this node at the last look.
+    confirmed: bool,
 }
 
 impl Kin {
-    fn new(site: Site, socket: UdpSocket, ties: &Ties) -> Kin {
+    fn new(site: Site, socket: UdpSocket, ties: &mut Ties) -> Kin {
         let clock = Clock::new();
         let setup = Setup {
             me: site.me,
@@ -168,7 +186,20 @@
         };
         let by_address = site.nodes.iter().copied().zip(0..).collect();
         let siblings = Siblings::new(setup, clock.now(), wall());
-        Kin { socket, site, by_address, clock, siblings, unlisted: 0, told: None }
+        let common = site.common.any().then(|| {
+            let setup = lilacquay_replica::Setup {
+                me: site.me,
+                nodes: site.nodes.len(),
+                site: self::site(&site.name, site.nodes.len()),
+                seed: ties.seed ^ wall() ^ 1,
+                incarnation: siblings.incarnation(),
+            };
+            let (orders, commands) = (ties.orders.clone(), ties.commands.clone());
+            let mut common = Common::new(setup, site.common, clock.now(), orders, commands);
+            common.restore(clock.now(), std::mem::take(&mut ties.kept));
+            common
+        });
+        Kin { socket, site, by_address, clock, siblings, unlisted: 0, told: None, common, confirmed: false }
     }
 
     /// Runs until the list changes.
@@ -176,13 +207,20 @@
         let mut bearing = ties.keeper.bearing();
         let (mut datagram, mut leaving) = ([0; LONGEST + 1], false);
         loop {
-            let due = self.clock.instant(self.siblings.due());
+            let due = self.common.as_ref().map_or(Micros::MAX, Common::due).min(self.siblings.due());
             let out = tokio::select! {
                 biased;
-                () = sleep_until(due) => self.siblings.tick(self.clock.now(), wall()),
+                () = sleep_until(self.clock.instant(due)) => self.tick(&mut ties.own),
                 Some(ask) = ties.asks.recv() => {
-                    let _ = ask.send(self.sight()); // who asked may have left
-                    continue;
+                    self.asked(ask);
+                    Vec::new()
+                }
+                Some(told) = ties.lists.recv() => {
+                    let ended = common::list(&mut ties.own, told);
+                    if let Some(common) = &mut self.common {
+                        common.list(self.clock.now(), &ties.own, &ended);
+                    }
+                    Vec::new()
                 }
                 Ok(()) = bearing.changed() => match ties.keeper.state() {
                     Life::Finishing { shared: false, .. } if !leaving => {
@@ -195,8 +233,10 @@
                     if *ties.site.borrow() == self.site {
                         continue;
                     }
-                    let last = self.siblings.leave(self.clock.now());
+                    let now = self.clock.now();
+                    let last = self.siblings.leave(now);
                     info!("siblings: the list of nodes has changed; it begins anew");
+                    ties.kept = self.common.as_ref().map_or(Vec::new(), |common| common.kept(now));
                     return self.send(last).await;
                 }
                 // Last: datagrams without end hold up none of the above.
@@ -214,12 +254,64 @@
             self.send(out).await;
             self.log();
             self.tell(ties);
+            if let Some(common) = &mut self.common {
+                common.tell(self.clock.now(), &ties.own);
+            }
             yield_now().await;
         }
     }
 
+    /// Time has passed.
+    fn tick(&mut self, own: &mut OwnList) -> Vec<Out> {
+        let (now, mut out) = (self.clock.now(), Vec::new());
+        if now >= self.siblings.due() {
+            out.extend(self.siblings.tick(now, wall()));
+            self.mind_common(now);
+        }
+        if let Some(common) = self.common.as_mut().filter(|common| now >= common.due()) {
+            out.extend(common.tick(now, own).into_iter().map(worded));
+        }
+        out
+    }
+
+    /// Tells the copy who is here, and whether this node was away.
+    fn mind_common(&mut self, now: Micros) {
+        let Some(common) = &mut self.common else { return };
+        let confirmed = self.siblings.is_confirmed(now);
+        // One that too few confirm is cut off; one that is superseded is to be silent.
+        let fellows = self.siblings.fellows(now);
+        let heard = |fellow: &&Fellow| fellow.state == State::Here;
+        let here = match self.siblings.is_superseded() {
+            true => Vec::new(),
+            false => fellows.iter().filter(heard).map(|fellow| fellow.node).collect(),
+        };
+        common.set_here(now, here, confirmed && !self.confirmed);
+        self.confirmed = confirmed;
+    }
+
+    /// Answers whoever asks.
+    fn asked(&mut self, ask: SiblingsAsk) {
+        let now = self.clock.now();
+        // Who asked may have left, at each.
+        match ask {
+            SiblingsAsk::Sight(answer) => drop(answer.send(self.sight())),
+            SiblingsAsk::Copy(answer) => {
+                drop(answer.send(self.common.as_ref().map(|common| common.look(now))))
+            }
+            SiblingsAsk::Order(order, wait_for, answer) => match &mut self.common {
+                Some(common) => common.order(now, &order, wait_for, answer),
+                None => drop(answer.send(None)),
+            },
+        }
+    }
+
     fn heard(&mut self, from: SocketAddr, datagram: &[u8]) -> Vec<Out> {
         match self.by_address.get(&from) {
+            Some(&node) if datagram.starts_with(&replica::MAGIC) => {
+                let (now, common) = (self.clock.now(), self.common.as_mut());
+                let out = common.map_or(Vec::new(), |common| common.heard(now, node, datagram));
+                out.into_iter().map(worded).collect()
+            }
             Some(&node) => self.siblings.heard(self.clock.now(), wall(), node, datagram),
             None => {
                 self.unlisted += 1;
@@ -350,6 +442,11 @@
     }
 }
 
+/// One that the copy sends goes the same way.
+fn worded(out: lilacquay_replica::Out) -> Out {
+    Out { to: out.to, datagram: out.datagram }
+}
+
 /// On what evidence.
 fn words(why: &Why) -> String {
     match why {
@@ -372,7 +469,7 @@
 }
 
 /// For whoever asks what the node sees, with the receiver's half.
-pub fn asks() -> (Arc<mpsc::Sender<oneshot::Sender<Sight>>>, Asks) {
+pub fn asks() -> (Arc<mpsc::Sender<SiblingsAsk>>, Asks) {
     let (to, asks) = mpsc::channel(16);
     (Arc::new(to), asks)
 }
--- a/crates/lilacquay/tests/siblings.rs
+++ b/crates/lilacquay/tests/siblings.rs
@@ -1,74 +1,19 @@
 //! Five processes of the program that are siblings, with faults between them: who is here, gone or not known, whose part is
 //! whose, and that the four rules hold throughout.
 
+#[path = "common/nodes.rs"]
+mod nodes;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use lilacquay_fleet::clients::{self, Load, Report};
+use lilacquay_fleet::clients::{self, End, Load, Report};
 use lilacquay_fleet::trial::{Fault, Noted, Trial, TrialPlan, Way, accused, drawn};
 use lilacquay_fleet::verdict::{Broken, check};
-use lilacquay_fleet::{Plan, clients::End};
+use nodes::{NODES, Site, all, others, plan};
 
-const NODES: usize = 5;
 const GRACE: u64 = 500_000;
 
-struct Site {
-    trial: Trial,
-    folder: tempfile::TempDir,
-}
-
-impl Site {
-    fn new(siblings: bool, seed: u64) -> Site {
-        let folder = tempfile::tempdir().unwrap();
-        let program = env!("CARGO_BIN_EXE_lilacquay").into();
-        let plan =
-            TrialPlan { program, nodes: NODES, siblings, seed, fleet: Plan { seed, ..Plan::default() } };
-        Site { trial: Trial::start(plan, folder.path()).unwrap(), folder }
-    }
-
-    /// One whose nodes all hold each other to be here.
-    fn whole(seed: u64) -> Site {
-        let site = Site::new(true, seed);
-        site.until("all are here", |trial| trial.whole(&all()));
-        site
-    }
-
-    fn until(&self, what: &str, holds: impl Fn(&Trial) -> bool) {
-        if !self.trial.until(holds) {
-            let file = self.folder.path().join("events.jsonl");
-            self.trial.write(&file).unwrap();
-            panic!("not {what}: {}", std::fs::read_to_string(file).unwrap());
-        }
-    }
-
-    fn fault(&mut self, fault: Fault) {
-        self.trial.fault(&fault).unwrap();
-    }
-
-    /// What the nodes use together, of `NODES` whole parts.
-    fn parts(&self) -> f64 {
-        all().iter().map(|&node| self.part(node)).sum()
-    }
-
-    fn part(&self, node: usize) -> f64 {
-        self.trial.sight(node).map_or(0.0, |sight| sight["part"].as_f64().unwrap())
-    }
-
-    /// How often the log of a node says something.
-    fn said(&self, node: usize, words: &str) -> usize {
-        let noted = self.trial.noted();
-        noted.iter().filter(|noted| noted.node == Some(node) && noted.what.contains(words)).count()
-    }
-}
-
-fn all() -> Vec<usize> {
-    (0..NODES).collect()
-}
-
-fn others(node: usize) -> Vec<usize> {
-    all().into_iter().filter(|&other| other != node).collect()
-}
-
 #[test]
 fn a_killed_one_is_gone_to_all_and_comes_back_newer() {
     let mut site = Site::whole(1);
@@ -285,7 +230,7 @@
 
 #[test]
 fn without_siblings_not_a_byte_is_sent_and_none_are_told() {
-    let site = Site::new(false, 7);
+    let site = Site::of(TrialPlan { siblings: false, ..plan(7) });
     std::thread::sleep(Duration::from_secs(1)); // two periods
     assert_eq!(site.trial.datagrams(), (0, 0, 0));
     assert_eq!(site.trial.sight(0), None);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -7,7 +7,7 @@
 mod order;
 mod steer;
 
-pub use order::{Ask, Done, Held, Hold, Kept, Order, Refusal};
+pub use order::{Ask, Common, Done, Held, Hold, Kept, Order, Refusal};
 pub use steer::{Change, Listed, State, Steer};
 
 /// A point in time or a duration, in microseconds. A point that lies before the latest one told counts as that.
--- a/crates/steer/src/order.rs
+++ b/crates/steer/src/order.rs
@@ -47,10 +47,23 @@
     pub hold: Hold,
     /// Whether it lasts over a restart.
     pub lasting: bool,
+    /// Whether it is one that all nodes hold in common, rather than this node's alone.
+    pub common: bool,
     /// Its number: later orders have higher ones.
     pub number: u64,
 }
 
+/// An order that all nodes hold in common.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Common {
+    /// The server.
+    pub server: String,
+    /// How it holds it.
+    pub hold: Hold,
+    /// What it is known by among the nodes: kept with an order that lasts, and told again after a restart.
+    pub mark: String,
+}
+
 /// An order that lasts, as it is kept over a restart.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Kept {
@@ -58,6 +71,8 @@
     pub server: String,
     /// How much longer it is left out; nothing for a drain.
     pub left: Option<Micros>,
+    /// What it is known by among the nodes, if they hold it in common.
+    pub mark: Option<String>,
 }
 
 /// An order that was obeyed.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -1,9 +1,9 @@
 //! Who wins: the list or an order, one order or another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Micros;
-use crate::order::{Ask, Done, Held, Hold, Kept, Order, Refusal};
+use crate::order::{Ask, Common, Done, Held, Hold, Kept, Order, Refusal};
 
 /// Orders that may hold at once.
 const MOST: usize = 1024;
@@ -51,11 +51,17 @@
 /// - An order that would leave no cache in service is refused unless it is forced. Where the list brings that about
 ///   later, those that were left out for a time are let in, as long as it is so; a drain holds, for whoever ordered
 ///   it may be at the machine.
-/// - An order ends with its server's place in the list, unless it lasts.
+/// - An order ends with its server's place in the list, unless it lasts or is held in common.
+/// - Orders that the nodes hold in common come and go together, as those nodes have agreed; a node's own stay beside them.
+/// - What others say of a server leaves it out for as long as they say so, unless no cache would serve any more.
 #[derive(Default)]
 pub struct Steer {
     servers: BTreeMap<String, Server>,
     orders: BTreeMap<String, Held>,
+    /// By server, what an order in common is known by.
+    marks: BTreeMap<String, String>,
+    /// Left out on the word of others.
+    hearsay: BTreeSet<String>,
     numbers: u64,
     now: Micros,
 }
@@ -69,14 +75,48 @@
     /// The orders that lasted over a restart hold again; what is over meanwhile does not.
     pub fn restore(&mut self, now: Micros, kept: Vec<Kept>) {
         self.now = self.now.max(now);
-        for Kept { server, left } in kept.into_iter().take(MOST) {
+        for Kept { server, left, mark } in kept.into_iter().take(MOST) {
             let hold = left.map_or(Hold::Drain, |left| Hold::LeftOut(self.now.saturating_add(left)));
             self.numbers += 1;
-            self.orders.insert(server, Held { hold, lasting: true, number: self.numbers });
+            let common = mark.is_some();
+            self.marks.extend(mark.map(|mark| (server.clone(), mark)));
+            self.orders.insert(server, Held { hold, lasting: true, common, number: self.numbers });
         }
         self.expire();
     }
 
+    /// Goes by the orders that the nodes hold in common now, in place of those before; `whole`: these are all, so that one
+    /// that is missing was lifted. Tells which servers' states change.
+    pub fn common(&mut self, now: Micros, whole: bool, orders: Vec<Common>) -> Vec<Change> {
+        self.now = self.now.max(now);
+        if whole {
+            let named: BTreeSet<&str> = orders.iter().map(|order| order.server.as_str()).collect();
+            self.orders.retain(|server, held| !held.common || named.contains(server.as_str()));
+            self.marks.clear();
+        }
+        for Common { server, hold, mark } in orders {
+            let before = self.orders.get(&server).copied();
+            if before.is_none() && self.orders.len() >= MOST {
+                continue;
+            }
+            let same = before.filter(|before| before.common && before.hold == hold);
+            self.numbers += u64::from(same.is_none());
+            let number = same.map_or(self.numbers, |same| same.number);
+            let lasting = before.is_some_and(|before| before.lasting);
+            self.marks.insert(server.clone(), mark);
+            self.orders.insert(server, Held { hold, lasting, common: true, number });
+        }
+        self.expire();
+        self.settle()
+    }
+
+    /// Leaves these out, and none that were left out on hearsay before. Tells which servers' states change.
+    pub fn hearsay(&mut self, now: Micros, servers: BTreeSet<String>) -> Vec<Change> {
+        self.now = self.now.max(now);
+        self.hearsay = servers;
+        self.settle()
+    }
+
     /// The orders that are to last over a restart.
     pub fn kept(&self) -> Vec<Kept> {
         let lasting = self.orders.iter().filter(|(_, held)| held.lasting);
@@ -85,7 +125,7 @@
                 Hold::Drain => None,
                 Hold::LeftOut(until) => Some(until.saturating_sub(self.now)),
             };
-            Kept { server: server.clone(), left }
+            Kept { server: server.clone(), left, mark: self.marks.get(server).cloned() }
         };
         lasting.map(kept).collect()
     }
@@ -146,7 +186,7 @@
             return Err(Refusal::LastServing);
         }
         self.numbers += 1;
-        let new = Held { hold, lasting: ask.lasting, number: self.numbers };
+        let new = Held { hold, lasting: ask.lasting, common: false, number: self.numbers };
         let replaced = self.orders.insert(ask.server.clone(), new);
         Ok(Done { number: self.numbers, replaced })
     }
@@ -195,7 +235,8 @@
 
     /// A name that comes back may be another machine's.
     fn forget_unlisted(&mut self, name: &str) {
-        if !self.servers.contains_key(name) && self.orders.get(name).is_some_and(|held| !held.lasting) {
+        let ends = |held: &Held| !held.lasting && !held.common;
+        if !self.servers.contains_key(name) && self.orders.get(name).is_some_and(ends) {
             self.orders.remove(name);
         }
     }
@@ -206,7 +247,10 @@
     }
 
     fn serves(&self, name: &str, server: &Server) -> bool {
-        !server.origin && server.listed == State::Serving && !self.orders.contains_key(name)
+        !server.origin
+            && server.listed == State::Serving
+            && !self.orders.contains_key(name)
+            && !self.hearsay.contains(name)
     }
 
     /// Sets all states by list and orders; tells which have changed.
@@ -218,6 +262,7 @@
             let state = match held.map(|held| held.hold) {
                 Some(Hold::Drain) => State::Draining,
                 Some(Hold::LeftOut(_)) if !starved => State::Draining,
+                _ if !starved && !server.origin && self.hearsay.contains(name) => State::Draining,
                 _ => server.listed,
             };
             if std::mem::replace(&mut server.told, state) != state {
--- a/crates/steer/tests/steer.rs
+++ b/crates/steer/tests/steer.rs
@@ -1,8 +1,8 @@
 //! Orders on a list, the hard cases one by one and under random lists and orders. Time is the test's.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use lilacquay_steer::{Ask, Change, Done, Hold, Kept, Listed, Micros, Order, Refusal, State, Steer};
+use lilacquay_steer::{Ask, Change, Common, Done, Hold, Kept, Listed, Micros, Order, Refusal, State, Steer};
 
 const SECOND: Micros = 1_000_000;
 
@@ -126,7 +126,7 @@
     obeyed(&mut steer, 0, &ask("b", Order::Drain));
     steer.tick(20 * SECOND);
     let kept = steer.kept();
-    assert_eq!(kept, [Kept { server: "a".into(), left: Some(40 * SECOND) }]);
+    assert_eq!(kept, [Kept { server: "a".into(), left: Some(40 * SECOND), mark: None }]);
     let mut again = Steer::new();
     again.restore(5, kept);
     let all = ["a", "b"].map(|name| listed(name, Some(State::Serving)));
@@ -134,7 +134,7 @@
     assert_eq!(told, [change("a", State::Draining), change("b", State::Serving)]);
     assert_eq!(again.due(), Some(5 + 40 * SECOND));
     let mut over = Steer::new();
-    over.restore(0, vec![Kept { server: "a".into(), left: Some(0) }]);
+    over.restore(0, vec![Kept { server: "a".into(), left: Some(0), mark: None }]);
     assert_eq!(over.held("a"), None, "over by then");
 }
 
@@ -220,3 +220,37 @@
         }
     }
 }
+
+fn common(server: &str, hold: Hold) -> Common {
+    Common { server: server.into(), hold, mark: format!("mark of {server}") }
+}
+
+#[test]
+fn orders_in_common_come_and_go_together_and_a_nodes_own_stay() {
+    let mut steer = site();
+    obeyed(&mut steer, 0, &Ask { lasting: true, ..ask("a", Order::Drain) });
+    obeyed(&mut steer, 0, &ask("b", Order::Drain));
+    assert_eq!(steer.common(0, true, vec![common("a", Hold::Drain), common("gone", Hold::Drain)]), []);
+    let kept = steer.kept();
+    assert_eq!(kept, [Kept { server: "a".into(), left: None, mark: Some("mark of a".into()) }]);
+    // Lifted elsewhere: the node's own order for b stays, the one in common goes, though it lasts.
+    assert_eq!(steer.common(0, false, vec![]), [], "not all is known yet");
+    assert_eq!(steer.common(0, true, vec![]), [change("a", State::Serving)]);
+    assert!(steer.held("b").is_some() && steer.kept().is_empty());
+    // As one that starts again has it: it stands until the others are heard.
+    let mut again = site();
+    again.restore(0, kept);
+    assert_eq!(again.tick(0), [change("a", State::Draining)]);
+    assert_eq!(again.common(0, true, vec![common("a", Hold::LeftOut(SECOND))]), []);
+    assert_eq!(again.tick(2 * SECOND), [change("a", State::Serving)]);
+}
+
+#[test]
+fn hearsay_leaves_out_for_as_long_as_it_is_said_but_never_the_last() {
+    let mut steer = site();
+    let said = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<BTreeSet<String>>();
+    assert_eq!(steer.hearsay(0, said(&["a", "origin", "stranger"])), [change("a", State::Draining)]);
+    assert_eq!(steer.hearsay(0, said(&["a", "b", "c"])), [change("a", State::Serving)], "nobody would serve");
+    assert_eq!(steer.hearsay(0, said(&["b"])), [change("b", State::Draining)]);
+    assert_eq!(steer.hearsay(0, said(&[])), [change("b", State::Serving)]);
+}
