--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -94,6 +94,9 @@
     Count,
 }
 
+/// What other nodes have seen is believed for so long unless it is said again, in microseconds.
+const BELIEVED: Micros = 10_000_000;
+
 /// What a driver holds.
 #[derive(Debug, Default)]
 pub struct Gauges {
@@ -402,17 +405,32 @@
                 let changes = steering.hearsay(now, servers);
                 self.steered(changes);
             }
-            (InCommon::Believed(_), _) | (_, None) => {}
+            (InCommon::Believed(believed), _) => self.believe(now, &believed),
+            (_, None) => {}
         }
     }
 
+    /// Tells the module what other nodes have seen of servers, and of the others of the list that they have seen nothing.
+    fn believe(&mut self, now: Micros, believed: &BTreeMap<String, f64>) {
+        let known = self.directory.by_name();
+        let told = known.into_iter().map(|(name, (server, ..))| {
+            let slowness = believed.get(name).copied();
+            Event::Told {
+                server,
+                slowness: slowness.unwrap_or(0.0),
+                until: slowness.map_or(0, |_| now + BELIEVED),
+            }
+        });
+        self.events.extend(told.collect::<Vec<_>>());
+    }
+
     /// What this node has seen of servers by its own requests.
     fn sights(&self) -> BTreeMap<String, f64> {
         let names = self.directory.names();
         let seen = |(id, name): (&ServerId, &&str)| {
             let view = self.balancer.server(*id)?;
             let silent = view.silent.is_some_and(|tries| tries > 0);
-            Some(((*name).to_owned(), if silent { f64::INFINITY } else { view.slowness }))
+            Some(((*name).to_owned(), if silent { f64::INFINITY } else { view.seen }))
         };
         names.iter().filter_map(seen).collect()
     }
--- a/crates/lilacquay/src/common.rs
+++ b/crates/lilacquay/src/common.rs
@@ -22,6 +22,8 @@
 const WAITED: Micros = 3_000_000;
 /// How often what this node has seen of servers is asked for.
 const SEEN: Micros = 1_000_000;
+/// How often it is reckoned what others have seen.
+const BELIEVED: Micros = 250_000;
 /// Records that are told one by one.
 const TOLD: usize = 2_000;
 /// The levels of the log, by their numbers.
@@ -152,6 +154,7 @@
     changed: BTreeSet<u8>,
     seen: Option<oneshot::Receiver<BTreeMap<String, f64>>>,
     seen_at: Micros,
+    believed_at: Micros,
 }
 
 impl Common {
@@ -178,6 +181,7 @@
             changed: BTreeSet::new(),
             seen: None,
             seen_at: now,
+            believed_at: now,
         }
     }
 
@@ -332,13 +336,8 @@
             match of {
                 kind::ORDER if self.kinds.orders => self.tell_orders(now),
                 kind::WORD if self.kinds.words => self.tell_words(own),
-                kind::EVIDENCE if self.kinds.evidence => {
-                    let believed = evidence::believed(&self.replica, self.setup.me as u16);
-                    if believed != self.believed {
-                        self.core.in_common(InCommon::Believed(believed.clone()));
-                        self.believed = believed;
-                    }
-                }
+                kind::EVIDENCE if now < self.believed_at + BELIEVED => _ = self.changed.insert(of),
+                kind::EVIDENCE if self.kinds.evidence => self.tell_evidence(now),
                 _ => {}
             }
         }
@@ -387,6 +386,15 @@
         self.left_out = left_out;
     }
 
+    /// Told again while it is believed: the core forgets it otherwise.
+    fn tell_evidence(&mut self, now: Micros) {
+        let believed = evidence::believed(&self.replica, self.setup.me as u16);
+        if !believed.is_empty() || !self.believed.is_empty() {
+            self.core.in_common(InCommon::Believed(believed.clone()));
+        }
+        (self.believed, self.believed_at) = (believed, now);
+    }
+
     /// What is held, in words.
     pub fn look(&self, now: Micros) -> CopyNow {
         let ago = |at: Micros| now.saturating_sub(at) as f64 / 1e6;
--- a/crates/paddlefold/src/api.rs
+++ b/crates/paddlefold/src/api.rs
@@ -326,6 +326,16 @@
     ClientGone(RequestId),
     /// A timer is due.
     Timer(TimerToken),
+    /// What other nodes have seen of a server by their own requests. It counts beside what this node has seen, never as
+    /// that, so that no rumour feeds itself.
+    Told {
+        /// The server.
+        server: ServerId,
+        /// How much slower than all caches it answers, 1 being usual; at most 6 is believed.
+        slowness: f64,
+        /// It is believed until then.
+        until: Micros,
+    },
     /// How much of this node's part of what all nodes share it may use: 1 is all, 0 nothing. A node that is never told
     /// has all. More than 1 counts as 1: what a fellow leaves comes with the requests that it had.
     Part {
--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -68,12 +68,10 @@
     hastes: Hastes,
     copies: f64,
     retries: f64,
-    usual_work: f64, // of a request, in microseconds
-    /// Fetches that are out or wait for a place, by key, with those who wait for them.
-    flights: HashMap<u64, Vec<RequestId>>,
-    gates: [Gate; 2], // limits on what is out at the caches together, and at the origin
-    /// Calls for the list that failed in a row; none before the first call.
-    list_failures: Option<u32>,
+    usual_work: f64,                       // of a request, in microseconds
+    flights: HashMap<u64, Vec<RequestId>>, // fetches that are out or wait, by key, with those who wait for them
+    gates: [Gate; 2],                      // limits on what is out at the caches together, and at the origin
+    list_failures: Option<u32>, // calls for the list that failed in a row; none before the first call
 }
 
 impl Balancer {
@@ -130,6 +128,9 @@
             }
             Event::ClientGone(id) => self.end(id, out),
             Event::Part { part, until } => self.part = (part.clamp(0.0, 1.0), until),
+            Event::Told { server, slowness, until } => {
+                self.servers.entry(server).and_modify(|s| s.told = (slowness.clamp(0.0, 2.0 * SLOW), until));
+            }
             Event::Timer(LIST_TIMER) if self.settings.must_subscribe => out.push(Action::Subscribe),
             Event::Timer(token) => self.timer(RequestId(token.0 as u32), out),
         }
@@ -163,7 +164,8 @@
             server.member = member;
         }
         self.servers.retain(|_, s| s.member.state != MemberState::Removed || !s.out.is_empty());
-        self.origin = self.servers.values().find(|s| s.is_origin()).map(|s| s.member.id);
+        let origin = |s: &&Server| s.member.state == MemberState::Up && s.member.origin;
+        self.origin = self.servers.values().find(origin).map(|s| s.member.id);
         let caches = || self.servers.values().filter(|s| s.is_cache());
         self.caches = caches().count();
         self.unsized_list = caches().zip(caches().skip(1)).all(|(a, b)| a.member.weight == b.member.weight);
--- a/crates/paddlefold/src/health.rs
+++ b/crates/paddlefold/src/health.rs
@@ -99,7 +99,7 @@
             // A cancelled attempt tells something only if it was overdue.
             Outcome::Canceled | Outcome::Ignored => s.silent += u32::from(overdue),
         }
-        let before = s.slowness(self.now);
+        let before = s.seen(self.now);
         let slowness = match outcome {
             // A miss waits for the origin, which is not the cache's fault.
             Outcome::Ok if end.hit != Some(false) => sample,
--- a/crates/paddlefold/src/learned.rs
+++ b/crates/paddlefold/src/learned.rs
@@ -43,7 +43,7 @@
     pub fn learned(&self) -> Learned {
         let server = |(id, s): (&ServerId, &Server)| OfServer {
             id: id.0,
-            slowness: s.slowness(self.now),
+            slowness: s.seen(self.now),
             silent: s.silent,
             heard: s.heard.map(|at| self.now.saturating_sub(at)),
         };
--- a/crates/paddlefold/src/state.rs
+++ b/crates/paddlefold/src/state.rs
@@ -181,8 +181,7 @@
 #[derive(Default)]
 pub(crate) struct Server {
     pub member: Member,
-    /// When it last started cold, as far as we know.
-    pub cold_since: Option<Micros>,
+    pub cold_since: Option<Micros>, // when it last started cold, as far as we know
     /// Our attempts out there, by the time from which each is a sign of trouble.
     pub out: BTreeSet<(Micros, RequestId, usize)>,
     /// Those that are out and held to be lost: they take no place.
@@ -194,12 +193,11 @@
     /// ... and when that was.
     sampled: Micros,
     pub heard: Option<Micros>,
-    /// Attempts without an answer, in a row.
-    pub silent: u32,
-    /// While it is left out: when one request may try it again.
-    pub retry_at: Micros,
-    /// Saved-up sends while cold, and when that was reckoned.
-    pub allowance: (f64, Micros),
+    pub silent: u32,              // attempts without an answer, in a row
+    pub retry_at: Micros,         // while it is left out: when one request may try it again
+    pub allowance: (f64, Micros), // saved-up sends while cold, and when that was reckoned
+    /// The same as other nodes have seen it, and until when that is believed.
+    pub told: (f64, Micros),
 }
 
 impl Server {
@@ -215,20 +213,24 @@
     }
     /// Started anew: cold, unless that is long ago, and innocent, with some part of a send saved up.
     pub fn restart(&mut self, cold_since: Option<Micros>, now: Micros, saved: f64) {
-        (self.cold_since, self.slowness, self.silent) = (cold_since, 1.0, 0);
+        (self.cold_since, self.slowness, self.silent, self.told) = (cold_since, 1.0, 0, (0.0, 0));
         self.allowance = (saved, now);
     }
     /// Response times in comparison with all caches. What was seen is worth less the longer ago it was.
-    pub fn slowness(&self, now: Micros) -> f64 {
+    pub fn seen(&self, now: Micros) -> f64 {
         1.0 + (self.slowness - 1.0) * (-((now - self.sampled) as f64) / FORGOTTEN).exp()
     }
+    /// The same, or what others have told, if that is worse.
+    pub fn slowness(&self, now: Micros) -> f64 {
+        self.seen(now).max(if now < self.told.1 { self.told.0 } else { 0.0 })
+    }
     /// Learns from a sample, which counts for so much at least, and for more the less is known of late.
     ///
     /// Guards against: many nodes that each meet a server every few seconds, and would find out one by one, some
     /// samples each, that it is slow or fails.
     pub fn sample(&mut self, slowness: f64, least: f64, now: Micros) {
         let news = 1.0 - (-((now - self.sampled) as f64) / RECENT).exp();
-        let before = self.slowness(now);
+        let before = self.seen(now);
         self.slowness = before + (slowness - before) * news.max(least);
         self.sampled = now;
     }
@@ -240,10 +242,6 @@
             None => 1.0,
         }
     }
-    /// The origin, in service.
-    pub fn is_origin(&self) -> bool {
-        self.member.state == MemberState::Up && self.member.origin
-    }
     /// In service, and not the origin.
     pub fn is_cache(&self) -> bool {
         self.member.state == MemberState::Up && !self.member.origin
--- a/crates/paddlefold/src/view.rs
+++ b/crates/paddlefold/src/view.rs
@@ -13,6 +13,8 @@
     pub warmth: f64,
     /// Its response times in comparison with all caches, 1 being usual.
     pub slowness: f64,
+    /// The same by this node's own requests alone.
+    pub seen: f64,
     /// Attempts without an answer, in a row, if it is left out for them but for a try now and then; 0 if it is for
     /// one that is long overdue.
     pub silent: Option<u32>,
@@ -40,6 +42,7 @@
         Some(ServerView {
             warmth: s.warmth(&self.settings, self.now),
             slowness: s.slowness(self.now),
+            seen: s.seen(self.now),
             silent: Some(s.silent).filter(|_| self.suspect(s)),
             cut_off: self.cut_off(s),
         })
--- a/crates/paddlefold/tests/locality.rs
+++ b/crates/paddlefold/tests/locality.rs
@@ -191,3 +191,23 @@
     assert!(shares[3] <= shares[2] + chance, "{shares:?}");
     assert!(shares[3] < shares[0] / 4.0, "{shares:?}");
 }
+
+/// Others have met a slow cache; this node has not yet.
+#[test]
+fn what_others_have_seen_moves_reads_off_a_cache_for_a_time_and_is_not_its_own_sight() {
+    let mut node = node(0.0, &[0, 0, 0]);
+    settle(&mut node, "hot");
+    let first = sent(&node.read(1, "hot")).unwrap();
+    node.now += 50_000;
+    node.end(1, 0, Outcome::Ok, 50_000);
+    let told = |slowness, until| Event::Told { server: first, slowness, until };
+    let until = node.now + 10_000_000;
+    node.tell(told(f64::MAX, until));
+    let view = node.balancer.server(first).unwrap();
+    assert!(view.slowness == 6.0 && view.seen < 1.5, "{view:?}");
+    assert_ne!(sent(&node.read(2, "hot")), Some(first));
+    node.now += 50_000;
+    node.end(2, 0, Outcome::Ok, 50_000);
+    node.now = until;
+    assert_eq!(sent(&node.read(3, "hot")), Some(first), "it is believed no longer");
+}
