Hand the copy to the process that follows, tell it in status, console and DUMP, and hold word of boxes under run

Need: a process that follows began with nothing of what all hold in common; an operator saw the copy in replica alone.

--- a/crates/console/src/view.rs
+++ b/crates/console/src/view.rs
@@ -1,7 +1,9 @@
 //! Lays a model out on a screen. It works at 80 by 24, and does what it can on less.
 
 use lilacquay_control::Verb;
-use lilacquay_observe::{Answers, BUCKETS, BoxNow, Second, SiblingsNow, SlowNow, Snapshot, bucket_limit};
+use lilacquay_observe::{
+    Answers, BUCKETS, BoxNow, CommonNow, Second, SiblingsNow, SlowNow, Snapshot, bucket_limit,
+};
 use ratatui::Frame;
 use ratatui::layout::{Constraint, Layout, Rect};
 use ratatui::style::{Color, Modifier, Style};
@@ -202,6 +204,7 @@
         ]),
     ];
     text.extend(siblings_line(now, look));
+    text.extend(common_line(now, look));
     text.push(Line::raw(""));
     let odd =
         now.boxes.iter().filter(|server| !server.serves || server.left_out.is_some() || server.warmth < 1.0);
@@ -255,6 +258,16 @@
     ]))
 }
 
+/// What all nodes hold in common; nothing where they hold nothing so.
+fn common_line(now: &Snapshot, look: Look) -> Option<Line<'static>> {
+    let CommonNow { behind, records, conflicts, left_out } = now.common?;
+    let style = if behind || conflicts > 0 { look.warn() } else { Style::new() };
+    let stage = if behind { "BEHIND" } else { "level" };
+    let contradict = if conflicts > 0 { format!(", {conflicts} ORDERS CONTRADICT") } else { String::new() };
+    let told = format!("{stage}, {records} records, {left_out} boxes out on others' word{contradict}");
+    Some(Line::from(vec![Span::styled(format!("{:<10}", "common"), look.head()), Span::styled(told, style)]))
+}
+
 fn mean(values: impl Iterator<Item = u64>) -> f64 {
     let (sum, count) =
         values.fold((0_u64, 0_u32), |(sum, count), value| (sum.saturating_add(value), count + 1));
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -66,6 +66,8 @@
     Sight(oneshot::Sender<Sight>),
     /// What it holds of what all hold in common; nothing where they hold nothing so.
     Copy(oneshot::Sender<Option<CopyNow>>),
+    /// All records of its copy, as text, and how long each lives yet, in microseconds: for the process that follows.
+    Records(oneshot::Sender<Vec<(String, Option<u64>)>>),
     /// To have all nodes hold an order, and to say how many do: once these many do, or all, or it has taken too long.
     /// Nothing where they hold no orders in common.
     Order(CommonOrder, Option<usize>, oneshot::Sender<Option<HeldBy>>),
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use lilacquay_figures::{Book, End};
-use lilacquay_observe::Kind;
+use lilacquay_observe::{CommonNow, Kind};
 use lilacquay_quota::Ticket;
 use lilacquay_steer::Kept;
 use paddlefold::setup::Setup;
@@ -165,6 +165,8 @@
     watched: Watched,
     /// Who is there, where nodes speak to one another.
     siblings: Option<Fellows>,
+    /// What they hold in common.
+    common: Option<CommonNow>,
     book: Book,
     /// The version of the list, where its source has one.
     version: Option<u64>,
@@ -215,6 +217,7 @@
             lists: options.lists,
             watched,
             siblings: None,
+            common: None,
             clock,
             upstream,
             open: HashMap::new(),
@@ -406,6 +409,10 @@
                 self.steered(changes);
             }
             (InCommon::Believed(believed), _) => self.believe(now, &believed),
+            (InCommon::Seen(seen), _) => {
+                self.book.common([seen.records, seen.conflicts, usize::from(seen.behind)]);
+                self.common = Some(seen);
+            }
             (_, None) => {}
         }
     }
--- a/crates/core/src/driver/look.rs
+++ b/crates/core/src/driver/look.rs
@@ -60,6 +60,7 @@
             unknown: fellows.numbers[2],
             part: if fellows.until > Instant::now() { f64::from(fellows.thousandths) / 1e3 } else { 0.0 },
         });
+        snapshot.common = self.common;
         if let Some(quotas) = &mut self.quotas {
             snapshot.shares = quotas.shares(now);
         }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use lilacquay_observe::Snapshot;
+use lilacquay_observe::{CommonNow, Snapshot};
 use lilacquay_steer::{Ask, Common, Done, Refusal};
 use paddlefold::{Learned, RequestId};
 use tokio::sync::mpsc::UnboundedSender;
@@ -50,6 +50,8 @@
     Hearsay(BTreeSet<String>),
     /// How much slower than others servers are, as other nodes have seen them.
     Believed(BTreeMap<String, f64>),
+    /// How much of it there is, for whoever looks.
+    Seen(CommonNow),
 }
 
 /// A list that the node's own source has told, for whoever tells other nodes.
--- a/crates/figures/src/lib.rs
+++ b/crates/figures/src/lib.rs
@@ -19,6 +19,8 @@
 
 /// The figures of other nodes.
 const SIBLINGS: [&str; 3] = ["siblings_here", "siblings_gone", "siblings_unknown"];
+/// The figures of what nodes hold in common.
+const COMMON: [&str; 3] = ["common_records", "common_conflicts", "common_behind"];
 
 /// How a request has ended, as its client sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,6 +66,7 @@
     skipped: Gauge,
     /// Other nodes that are here, gone and not known; only where nodes speak to one another.
     siblings: OnceLock<[Gauge; 3]>,
+    common: OnceLock<[Gauge; 3]>,
     registry: Mutex<Registry>,
 }
 
@@ -103,8 +106,18 @@
         registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
         registry.register("known_cache_servers", "Caches in the list", known.clone());
         registry.register("skipped_cache_servers", "Listed caches that are avoided now", skipped.clone());
-        let (siblings, registry) = (OnceLock::new(), Mutex::new(registry));
-        Book(Arc::new(Pages { classes, unnamed, tries, in_progress, known, skipped, siblings, registry }))
+        let (siblings, common, registry) = (OnceLock::new(), OnceLock::new(), Mutex::new(registry));
+        Book(Arc::new(Pages {
+            classes,
+            unnamed,
+            tries,
+            in_progress,
+            known,
+            skipped,
+            siblings,
+            common,
+            registry,
+        }))
     }
 
     fn ends(&self, class: Option<usize>) -> &Ends {
@@ -137,11 +150,21 @@
 
     /// How many other nodes are here, gone and not known. Figures of these are told from the first call on.
     pub fn siblings(&self, numbers: [usize; 3]) {
-        let gauges = self.0.siblings.get_or_init(|| {
-            let gauges = SIBLINGS.map(|_| Gauge::default());
+        self.set(&self.0.siblings, SIBLINGS, "Other nodes, as this one sees them", numbers);
+    }
+
+    /// How many records are held in common, how many orders contradict each other, and whether this node is behind. Figures
+    /// of these are told from the first call on.
+    pub fn common(&self, numbers: [usize; 3]) {
+        self.set(&self.0.common, COMMON, "What all nodes hold in common, as this one has it", numbers);
+    }
+
+    fn set(&self, of: &OnceLock<[Gauge; 3]>, names: [&'static str; 3], help: &str, numbers: [usize; 3]) {
+        let gauges = of.get_or_init(|| {
+            let gauges = names.map(|_| Gauge::default());
             let mut registry = self.0.registry.lock().unwrap_or_else(PoisonError::into_inner);
-            for (name, gauge) in SIBLINGS.into_iter().zip(&gauges) {
-                registry.register(name, "Other nodes, as this one sees them", gauge.clone());
+            for (name, gauge) in names.into_iter().zip(&gauges) {
+                registry.register(name, help, gauge.clone());
             }
             gauges
         });
@@ -179,7 +202,9 @@
         put(&mut text, format_args!("in_progress"), self.0.in_progress.get(), 'g');
         put(&mut text, format_args!("known_cache_servers"), self.0.known.get(), 'g');
         put(&mut text, format_args!("skipped_cache_servers"), self.0.skipped.get(), 'g');
-        for (name, gauge) in SIBLINGS.into_iter().zip(self.0.siblings.get().into_iter().flatten()) {
+        let siblings = SIBLINGS.into_iter().zip(self.0.siblings.get().into_iter().flatten());
+        let common = COMMON.into_iter().zip(self.0.common.get().into_iter().flatten());
+        for (name, gauge) in siblings.chain(common) {
             put(&mut text, format_args!("{name}"), gauge.get(), 'g');
         }
         text
@@ -256,6 +281,9 @@
         book.siblings([3, 2, 0]);
         assert!(book.lines().contains("edge_edge.siblings_gone:2|g\nedge_edge.siblings_unknown:0|g"));
         assert!(book.prometheus().contains("lilacquay_siblings_here 3"));
+        assert!(!book.lines().contains("common"));
+        book.common([7, 0, 1]);
+        assert!(book.lines().ends_with("edge_edge.common_conflicts:0|g\nedge_edge.common_behind:1|g\n"));
     }
 
     #[test]
--- a/crates/lilacquay/src/common.rs
+++ b/crates/lilacquay/src/common.rs
@@ -7,6 +7,7 @@
 use lilacquay_codec::replica::{Part, Record, Said, Sent, put, read};
 use lilacquay_control::{Command, CommonOrder, CopyNow, HeldBy, KindNow, OrderHeld, PeerCopy, RecordNow};
 use lilacquay_core::{InCommon, ListTold, Micros, Orders, State};
+use lilacquay_observe::CommonNow;
 use lilacquay_replica::orders::{Action, KEPT, Order, Standing};
 use lilacquay_replica::words::{self, Ended, Listed, OwnList};
 use lilacquay_replica::{Out, Replica, Setup, Stage, evidence, kind};
@@ -38,8 +39,8 @@
 }
 
 impl Kinds {
-    /// On the platform: what was measured to gain something there.
-    pub const PLATFORM: Kinds = Kinds { orders: false, words: false, evidence: false };
+    /// On the platform, where the settings let nodes speak to one another: nobody gives orders there.
+    pub const PLATFORM: Kinds = Kinds { orders: false, words: true, evidence: false };
     const NAMES: &[&str] = &["orders", "words", "evidence"];
 
     /// Reads `common`; orders and words if there is none.
@@ -85,18 +86,23 @@
     }
 }
 
-/// An order in common, as it is kept over a restart or over another list of nodes.
+/// A record in common, as it is kept over a restart, another list of nodes, or a hand-over.
 #[derive(Debug, Clone)]
-pub struct KeptOrder {
+pub struct KeptRecord {
     record: Record,
     left: Option<Micros>,
 }
 
-impl KeptOrder {
+impl KeptRecord {
     /// Of an order that lasted, if it is one in common.
-    pub fn of(kept: &Kept) -> Option<KeptOrder> {
+    pub fn of(kept: &Kept) -> Option<KeptRecord> {
         let record = of_mark(kept.mark.as_deref()?)?;
-        Some(KeptOrder { record, left: kept.left.map(|left| left + KEPT) })
+        Some(KeptRecord { record, left: kept.left.map(|left| left + KEPT) })
+    }
+
+    /// Of what a process before has handed over.
+    pub fn handed((mark, left): &(String, Option<Micros>)) -> Option<KeptRecord> {
+        Some(KeptRecord { record: of_mark(mark)?, left: *left })
     }
 }
 
@@ -155,6 +161,7 @@
     seen: Option<oneshot::Receiver<BTreeMap<String, f64>>>,
     seen_at: Micros,
     believed_at: Micros,
+    told: Option<CommonNow>,
 }
 
 impl Common {
@@ -182,19 +189,27 @@
             seen: None,
             seen_at: now,
             believed_at: now,
+            told: None,
         }
     }
 
+    /// All records, for the process that follows.
+    pub fn handed(&self, now: Micros) -> Vec<(String, Option<Micros>)> {
+        let left = |until: Micros| until.saturating_sub(now);
+        let told = |held: &lilacquay_replica::Held| (mark(&held.record), held.until.map(left));
+        self.replica.all().take(TOLD).map(|(_, _, held)| told(held)).collect()
+    }
+
     /// Takes back what was kept.
-    pub fn restore(&mut self, now: Micros, kept: Vec<KeptOrder>) {
-        for KeptOrder { record, left } in kept {
+    pub fn restore(&mut self, now: Micros, kept: Vec<KeptRecord>) {
+        for KeptRecord { record, left } in kept {
             self.replica.restore(now, record, left);
         }
     }
 
     /// The orders, to be kept over another list of nodes.
-    pub fn kept(&self, now: Micros) -> Vec<KeptOrder> {
-        let kept = |held: &lilacquay_replica::Held| KeptOrder {
+    pub fn kept(&self, now: Micros) -> Vec<KeptRecord> {
+        let kept = |held: &lilacquay_replica::Held| KeptRecord {
             record: held.record.clone(),
             left: held.until.map(|until| until.saturating_sub(now)),
         };
@@ -332,7 +347,8 @@
             self.stage = Some(stage);
             self.changed.insert(kind::ORDER);
         }
-        for of in std::mem::take(&mut self.changed) {
+        let changed = std::mem::take(&mut self.changed);
+        for of in changed {
             match of {
                 kind::ORDER if self.kinds.orders => self.tell_orders(now),
                 kind::WORD if self.kinds.words => self.tell_words(own),
@@ -341,6 +357,16 @@
                 _ => {}
             }
         }
+        let seen = CommonNow {
+            behind: matches!(stage, Stage::Behind(_)),
+            records: self.replica.len(),
+            conflicts: self.conflicts.len(),
+            left_out: self.left_out.len(),
+        };
+        if self.told != Some(seen) {
+            self.core.in_common(InCommon::Seen(seen));
+            self.told = Some(seen);
+        }
     }
 
     fn tell_orders(&mut self, now: Micros) {
--- a/crates/lilacquay/src/control.rs
+++ b/crates/lilacquay/src/control.rs
@@ -235,6 +235,15 @@
             siblings.here, siblings.gone, siblings.unknown, siblings.part
         );
     }
+    if let Some(common) = now.common {
+        println!(
+            "in common: {}, {} records, {} orders contradict, {} servers left out on others' word",
+            if common.behind { "BEHIND" } else { "level" },
+            common.records,
+            common.conflicts,
+            common.left_out
+        );
+    }
     println!("list from {}, told {:.0} s ago{failures}", now.list.source.escape_debug(), now.list.told_s);
     println!("{:24} {:8} {:10} {:>5} {:>5}  state", "server", "zone", "kind", "out", "idle");
     now.boxes.iter().for_each(row);
--- a/crates/lilacquay/src/handover.rs
+++ b/crates/lilacquay/src/handover.rs
@@ -7,9 +7,11 @@
 use std::fs::{File, OpenOptions};
 use std::io;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
+use lilacquay_control::SiblingsAsk;
 use lilacquay_core::{Heritage, Learned, List, Orders, Portion, State};
 use lilacquay_handover::form::{self, Come, Message};
 use lilacquay_handover::tie::{Above, Action, Event, Tie};
@@ -19,7 +21,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout, timeout_at};
 use tracing::{info, warn};
 
@@ -36,6 +38,7 @@
 /// The forms of the parts.
 const LIST: u32 = 1;
 const LEARNED: u32 = 1;
+const COPY: u32 = 1;
 
 /// Where the processes of a node meet.
 #[derive(Debug, Clone)]
@@ -63,8 +66,13 @@
     pub list: Option<(List, Option<u64>)>,
     /// What was learned.
     pub learned: Option<Learned>,
+    /// What it held in common with other nodes: records as text, and how long each lives yet, in microseconds.
+    pub copy: Vec<(String, Option<u64>)>,
 }
 
+/// Who is asked for what the process holds in common with other nodes.
+pub type Holder = Arc<mpsc::Sender<SiblingsAsk>>;
+
 /// A process's side of the tie.
 pub struct Succession {
     place: Place,
@@ -203,6 +211,7 @@
     pub async fn keep(
         mut self,
         orders: Orders,
+        copy: Option<Holder>,
         holds: impl Fn() -> u32 + Send,
         mut bearing: watch::Receiver<Bearing>,
     ) {
@@ -218,7 +227,7 @@
                     self.on(Event::Holds(holds())).await;
                     self.look().await;
                 }
-                Ok(stream) = accept(&self.listener) => self.asked(stream, &orders).await,
+                Ok(stream) = accept(&self.listener) => self.asked(stream, &orders, copy.as_ref()).await,
                 message = hear(&mut self.elder) => match message {
                     Ok(Message::Grant(all)) => self.on(Event::Granted(all)).await,
                     Ok(_) => {}
@@ -277,7 +286,7 @@
     }
 
     /// Somebody asks to follow.
-    async fn asked(&mut self, stream: UnixStream, orders: &Orders) {
+    async fn asked(&mut self, stream: UnixStream, orders: &Orders, copy: Option<&Holder>) {
         let Ok(mut peer) = Peer::new(stream) else { return };
         match timeout(ANSWER, peer.hear()).await {
             Ok(Ok(Message::Asks { build, .. })) => {
@@ -290,7 +299,7 @@
             let _ = peer.say(&Message::Wait).await; // it asks again, or has gone
             return;
         }
-        let told = self.hand_over(&mut peer, &actions, orders).await;
+        let told = self.hand_over(&mut peer, &actions, orders, copy).await;
         if let Err(error) = told {
             warn!("handing over: {error}");
         }
@@ -298,7 +307,13 @@
         self.portion.set(self.tie.limit(), self.tie.in_company());
     }
 
-    async fn hand_over(&self, heir: &mut Peer, actions: &[Action], orders: &Orders) -> io::Result<()> {
+    async fn hand_over(
+        &self,
+        heir: &mut Peer,
+        actions: &[Action],
+        orders: &Orders,
+        copy: Option<&Holder>,
+    ) -> io::Result<()> {
         let build = env!("CARGO_PKG_VERSION").to_owned();
         heir.say(&Message::Taken { pid: std::process::id(), build }).await?;
         for action in actions {
@@ -311,6 +326,12 @@
                 heir.say(&Message::Part { name: name.into(), version, body }).await?;
             }
         }
+        if let Some(copy) = copy
+            && let Ok(Some(records)) = timeout(ANSWER, held(copy)).await
+        {
+            let body = serde_json::to_value(records).unwrap_or_default(); // text and numbers alone
+            heir.say(&Message::Part { name: "copy".into(), version: COPY, body }).await?;
+        }
         heir.say(&Message::Whole).await
     }
 }
@@ -322,6 +343,7 @@
                 let known = body["version"].as_u64();
                 self.list = Some((List { full: true, ..told.list }, known));
             }),
+            "copy" => form::part(version, COPY, body).map(|copy| self.copy = copy),
             "learned" => form::part(version, LEARNED, body).map(|learned| self.learned = Some(learned)),
             _ => Err("not known here".into()),
         };
@@ -349,6 +371,13 @@
     [("list", LIST, list), ("learned", LEARNED, serde_json::to_value(&heritage.learned).unwrap_or_default())]
 }
 
+/// What the process holds in common with other nodes.
+async fn held(copy: &Holder) -> Option<Vec<(String, Option<u64>)>> {
+    let (answer, told) = oneshot::channel();
+    copy.send(SiblingsAsk::Records(answer)).await.ok()?;
+    told.await.ok()
+}
+
 async fn accept(listener: &Option<UnixListener>) -> io::Result<UnixStream> {
     match listener {
         Some(listener) => listener.accept().await.map(|(stream, _)| stream),
@@ -377,3 +406,18 @@
         Err(_) => Default::default(),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_copy_is_taken_and_one_of_another_form_is_declined_alone() {
+        let mut received = Received::default();
+        received.take("copy", COPY, json!([["4c52", 5], ["4c53", null]]));
+        assert_eq!(received.copy, [("4c52".to_owned(), Some(5)), ("4c53".to_owned(), None)]);
+        received.take("copy", COPY + 1, json!([]));
+        received.take("copy", COPY, json!({ "no": "copy" }));
+        assert_eq!(received.copy.len(), 2);
+    }
+}
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -26,7 +26,7 @@
 use tracing::{info, warn};
 
 use crate::admin::Desk;
-use crate::common::KeptOrder;
+use crate::common::KeptRecord;
 use crate::config::{Config, Source};
 use crate::etcd::Etcd;
 use crate::handover::{self, Place};
@@ -105,8 +105,9 @@
     let quotas = config.quota.as_ref().map(|quota| quota.admission(&config.setup.names));
     let (to_lists, lists) = mpsc::unbounded_channel();
     let in_common = config.siblings.as_ref().is_some_and(|site| site.common.any());
-    // Orders in common that lasted are told to the others again.
-    let kept = steered.iter().flatten().filter_map(KeptOrder::of).collect();
+    // Orders in common that lasted are told to the others again, and what the process before held is held on.
+    let lasted = steered.iter().flatten().filter_map(KeptRecord::of);
+    let kept = lasted.chain(received.copy.iter().filter_map(KeptRecord::handed)).collect();
     // Where other nodes may have a server left out, the list is steered, whether or not operators do it here.
     let steered = steered.or(in_common.then(Vec::new));
     let options = Options {
@@ -171,7 +172,8 @@
     if let Some(succession) = succession {
         let (hall, gauges, most) = (hall.clone(), gauges.clone(), config.connections());
         let holds = move || ((hall.guests() + gauges.connections()) * 1000 / most) as u32;
-        parts.spawn(succession.keep(orders.clone(), holds, keeper.bearing()));
+        let copy = kin.is_some().then(|| to_siblings.clone());
+        parts.spawn(succession.keep(orders.clone(), copy, holds, keeper.bearing()));
     }
     let followed = Followed::start(members, orders, version, &config, nodes.subscribe(), kin, &mut parts);
     let told = Told { commands, keeper: keeper.clone(), logging };
--- a/crates/lilacquay/src/siblings.rs
+++ b/crates/lilacquay/src/siblings.rs
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::{error, info, warn};
 
-use crate::common::{self, Common, KeptOrder, Kinds};
+use crate::common::{self, Common, KeptRecord, Kinds};
 use crate::keeper::Keeper;
 use crate::section::Section;
 
@@ -133,8 +133,8 @@
     pub lists: mpsc::UnboundedReceiver<ListTold>,
     /// Who carries out orders on the node itself.
     pub commands: mpsc::Sender<Command>,
-    /// Orders in common that lasted over a restart, or over another list of nodes.
-    pub kept: Vec<KeptOrder>,
+    /// What is held in common from before: over a restart, another list of nodes, a hand-over.
+    pub kept: Vec<KeptRecord>,
     /// What the node's own list says.
     pub own: OwnList,
 }
@@ -298,6 +298,9 @@
             SiblingsAsk::Copy(answer) => {
                 drop(answer.send(self.common.as_ref().map(|common| common.look(now))))
             }
+            SiblingsAsk::Records(answer) => {
+                drop(answer.send(self.common.as_ref().map_or(Vec::new(), |common| common.handed(now))))
+            }
             SiblingsAsk::Order(order, wait_for, answer) => match &mut self.common {
                 Some(common) => common.order(now, &order, wait_for, answer),
                 None => drop(answer.send(None)),
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -16,8 +16,8 @@
 pub use observer::{Observer, Request};
 pub use rules::Repeats;
 pub use snapshot::{
-    Answers, BUCKETS, BoxNow, List, Measured, OrderNow, Rules, Second, ShareNow, SiblingsNow, SlowNow,
-    Snapshot, Spread, Step, TenantNow, Times,
+    Answers, BUCKETS, BoxNow, CommonNow, List, Measured, OrderNow, Rules, Second, ShareNow, SiblingsNow,
+    SlowNow, Snapshot, Spread, Step, TenantNow, Times,
 };
 pub use trail::{End, Kind, Waits};
 
--- a/crates/observe/src/snapshot.rs
+++ b/crates/observe/src/snapshot.rs
@@ -57,6 +57,22 @@
     pub shares: Vec<ShareNow>,
     /// The other nodes, where nodes speak to one another.
     pub siblings: Option<SiblingsNow>,
+    /// What all nodes hold in common, where they do.
+    pub common: Option<CommonNow>,
+}
+
+/// What all nodes hold in common, as this one has it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CommonNow {
+    /// It may lack what others hold.
+    pub behind: bool,
+    /// Records.
+    pub records: usize,
+    /// Servers for which orders contradict each other.
+    pub conflicts: usize,
+    /// Servers that are left out on the word of others.
+    pub left_out: usize,
 }
 
 /// The other nodes, as this one sees them.
