--- a/crates/replica/tests/virtual_time.rs
+++ b/crates/replica/tests/virtual_time.rs
@@ -209,7 +209,13 @@
         let level = |w: &World| (0..back).all(|n| matches!(w.replica(n).stage(), Stage::Level(_)));
         assert!(!level(&world));
         let before: Vec<u64> = world.nodes.iter().map(|node| node.sent).collect();
-        let time = world.until(6 * S, |w| level(w) && w.alike());
+        let time = world.until(6 * S, |w| {
+            // Nobody says so that lacks what the others hold.
+            let early =
+                |n: usize| matches!(w.replica(n).stage(), Stage::Level(_)) && w.replica(n).len() < records;
+            assert!(!(0..back).any(early));
+            level(w) && w.alike()
+        });
         assert!(time <= if back > 1 { 5 * S } else { 2 * S }, "{back} of {nodes}: level after {time}");
         // Whoever is asked answers no quicker than stated.
         let most = (0..nodes).map(|n| world.nodes[n].sent - before[n]).max().unwrap();
