--- a/crates/lilacquay/tests/siblings.rs
+++ b/crates/lilacquay/tests/siblings.rs
@@ -60,6 +60,14 @@
 #[test]
 fn a_paused_one_accuses_nobody_and_is_back_when_it_wakes() {
     let mut site = Site::whole(3);
+    // Within the bound: nobody's view changes.
+    for pause in [100, 1_000] {
+        site.fault(Fault::Pause(vec![4]));
+        std::thread::sleep(Duration::from_millis(pause));
+        site.fault(Fault::Resume(vec![4]));
+        std::thread::sleep(Duration::from_millis(1_500)); // longer than what is left of a lease
+    }
+    assert_eq!(all().iter().map(|&at| site.said(at, "is gone")).sum::<usize>(), 0);
     site.fault(Fault::Pause(vec![4]));
     site.until("4 is gone to all others", |trial| {
         others(4).iter().all(|&at| trial.state(at, 4).as_deref() == Some("gone"))
