--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -69,7 +69,7 @@
     copies: f64,
     retries: f64,
     usual_work: f64,                       // of a request, in microseconds
-    flights: HashMap<u64, Vec<RequestId>>, // fetches that are out or wait, by key, with those who wait for them
+    flights: HashMap<u64, Vec<RequestId>>, // fetches that are out or wait, by key, with who waits for them
     gates: [Gate; 2],                      // limits on what is out at the caches together, and at the origin
     list_failures: Option<u32>, // calls for the list that failed in a row; none before the first call
 }
