Bound words of rights that nobody takes, and answer nothing once superseded

Cause, found on reading again: a listed address that says something of rights grew a list that nothing empties, since the node lends nothing yet (Replica::heard); and a process that has given up its name still answered datagrams of copies (Kin::heard). Bounded to 256, silent now; a special case of an empty list that did nothing is gone. The test fails without the bound: 10,000 were kept.

--- a/crates/lilacquay/src/common.rs
+++ b/crates/lilacquay/src/common.rs
@@ -227,14 +227,11 @@
         out
     }
 
-    pub fn tick(&mut self, now: Micros, own: &OwnList) -> Vec<Out> {
+    pub fn tick(&mut self, now: Micros) -> Vec<Out> {
         if self.kinds.evidence {
             self.see(now);
         }
         let out = self.replica.tick(now);
-        if own.is_empty() {
-            self.changed.remove(&kind::WORD);
-        }
         self.answer_waiting(now);
         out
     }
--- a/crates/lilacquay/src/siblings.rs
+++ b/crates/lilacquay/src/siblings.rs
@@ -210,7 +210,7 @@
             let due = self.common.as_ref().map_or(Micros::MAX, Common::due).min(self.siblings.due());
             let out = tokio::select! {
                 biased;
-                () = sleep_until(self.clock.instant(due)) => self.tick(&mut ties.own),
+                () = sleep_until(self.clock.instant(due)) => self.tick(),
                 Some(ask) = ties.asks.recv() => {
                     self.asked(ask);
                     Vec::new()
@@ -262,14 +262,14 @@
     }
 
     /// Time has passed.
-    fn tick(&mut self, own: &mut OwnList) -> Vec<Out> {
+    fn tick(&mut self) -> Vec<Out> {
         let (now, mut out) = (self.clock.now(), Vec::new());
         if now >= self.siblings.due() {
             out.extend(self.siblings.tick(now, wall()));
             self.mind_common(now);
         }
         if let Some(common) = self.common.as_mut().filter(|common| now >= common.due()) {
-            out.extend(common.tick(now, own).into_iter().map(worded));
+            out.extend(common.tick(now).into_iter().map(worded));
         }
         out
     }
@@ -311,7 +311,9 @@
     fn heard(&mut self, from: SocketAddr, datagram: &[u8]) -> Vec<Out> {
         match self.by_address.get(&from) {
             Some(&node) if datagram.starts_with(&replica::MAGIC) => {
-                let (now, common) = (self.clock.now(), self.common.as_mut());
+                let now = self.clock.now();
+                // One that has given its name up to another process is silent.
+                let common = self.common.as_mut().filter(|_| !self.siblings.is_superseded());
                 let out = common.map_or(Vec::new(), |common| common.heard(now, node, datagram));
                 out.into_iter().map(worded).collect()
             }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -30,6 +30,8 @@
 const COUNTED: usize = 64;
 /// One that is behind and hears of nobody level counts as level after so long: nobody knows more.
 const ALONE: Micros = 2_000_000;
+/// Words of rights that wait to be taken.
+const RIGHTS: usize = 256;
 /// Sends that news must leave for answers.
 const FOR_ANSWERS: u64 = 20;
 
@@ -221,7 +223,9 @@
                 }
                 Part::Want(ids) => self.give(now, &ids, &mut answers),
                 Part::Held(list) => self.held_at(from, &list),
-                Part::Rights(rights) => self.rights.push((from, rights)),
+                // Guards against: a fellow that says more of rights than anybody takes.
+                Part::Rights(rights) if self.rights.len() < RIGHTS => self.rights.push((from, rights)),
+                Part::Rights(_) => {}
             }
         }
         self.answer(from, answers, &mut out);
--- a/crates/replica/tests/virtual_time.rs
+++ b/crates/replica/tests/virtual_time.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use lilacquay_codec::replica::{Part, Record, Said, Sent, Version, put};
+use lilacquay_codec::replica::{Part, Record, Rights, Said, Sent, Version, put};
 use lilacquay_replica::orders::{Action, KEPT};
 use lilacquay_replica::words::{Listed, OwnList, left_out, say};
 use lilacquay_replica::world::{MS, S, World};
@@ -360,3 +360,17 @@
     let most = (0..100).map(|n| world.nodes[n].sent - before[n]).max().unwrap();
     assert!(most <= 60 + 150 * time / S + 10 * (time / (250 * MS) + 2), "{most} in {time}");
 }
+
+/// Whatever a listed address says, and however often.
+#[test]
+fn words_of_rights_that_nobody_takes_do_not_pile_up() {
+    let mut world = world(3, 11);
+    let mut said = Said::default();
+    (0..10).for_each(|number| _ = said.add(Part::Rights(Rights::Ask { number, amount: 1 })));
+    let datagram = put(7, &said);
+    let kept = world.on(0, |replica, now| {
+        (0..1_000).for_each(|_| _ = replica.heard(now, 1, &datagram));
+        replica.rights().len()
+    });
+    assert_eq!(kept, 256);
+}
