Log why each client connection closes, requests' steps, and that the process was held up

Each close has a typed reason (debug, with what was owed and lay unread), as have arrival, attempts, their ends and the final answer, by the request's number; a timer that fires 30 ms late is a warning. A connection that is closed with a request unanswered, and not by its client, now counts as a violation also where its session has run to its end, and names the request's id: before, only sessions that were cut off counted.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -22,7 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
-use tracing::info;
+use tracing::{debug, info, warn};
 
 use crate::admission::Admission;
 use crate::call::{Answer, Call};
@@ -53,6 +53,8 @@
 const COUNTED: u32 = 1000;
 /// A cache that is left out and was sent nothing for so long is avoided.
 const AVOIDED: Duration = Duration::from_millis(500);
+/// A timer that fires so late shows that the process was held up.
+const HELD_UP: Duration = Duration::from_millis(30);
 /// Servers whose news is logged one by one; of more, the count.
 const NAMED: usize = 12;
 
@@ -281,6 +283,7 @@
 
     /// Runs until nobody can tell it anything.
     pub async fn run(mut self) {
+        let mut held_up_until = Instant::now();
         loop {
             tokio::select! {
                 message = self.inbox.recv() => match message {
@@ -290,7 +293,10 @@
                 Some(begun) = self.begun.recv() => self.begin(begun),
                 Some(request) = self.permit_requests.recv() => self.permit_requested(request),
                 Some(ended) = self.attempts.recv() => self.ended(ended),
-                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => self.due(due.into_inner()),
+                Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)) => {
+                    note_hold_up(due.deadline(), &mut held_up_until);
+                    self.due(due.into_inner());
+                }
             }
             self.decide();
             log_news(&self.directory.take_news());
@@ -516,6 +522,7 @@
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { id, call, at, answer } = arrival;
         self.book.taken();
+        debug!(request = id.0, id = %String::from_utf8_lossy(&call.id), wait_us = call.wait(), "taken");
         if self.over.load(Ordering::Relaxed) {
             self.book.ended(call.class, Some(End::Dropped));
             return drop(answer.send(Answer::Busy(0))); // the client may have left
@@ -557,6 +564,7 @@
     fn gone(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             let _ = open.left.set(Instant::now()); // it leaves once
+            debug!(request = id.0, attempts = open.attempts.len(), "its client has left");
             if open.answer.take().is_some() {
                 self.watched.answered(id, Kind::Gone, || &open.call.key);
                 self.book.ended(open.call.class, None);
@@ -582,6 +590,7 @@
         if let Some(open) = self.open.get_mut(&id)
             && let Some(sender) = open.answer.take()
         {
+            debug!(request = id.0, attempts = open.attempts.len(), answer = ?kind(&answer), "answered");
             self.watched.answered(id, kind(&answer), || &open.call.key);
             self.book.ended(open.call.class, Some(end(&answer)));
             let _ = sender.send(answer); // the client may have left
@@ -611,6 +620,16 @@
     }
 }
 
+/// Logs that a timer fired late, once for each time that the process was held up.
+fn note_hold_up(due: Instant, held_up_until: &mut Instant) {
+    let now = Instant::now();
+    let late = now.saturating_duration_since(due);
+    if late >= HELD_UP && due > *held_up_until {
+        warn!(late_ms = late.as_millis() as u64, "the process was held up");
+        *held_up_until = now;
+    }
+}
+
 /// What a list has changed.
 fn log_news(news: &[(String, News)]) {
     if news.len() > NAMED {
--- a/crates/core/src/driver/attempts.rs
+++ b/crates/core/src/driver/attempts.rs
@@ -48,6 +48,7 @@
         let open = self.open.get_mut(&id).expect("looked up above");
         let begun = permit.is_some();
         open.attempts.push(Some(Running { server, sent: now, task, begun, timer, began: None }));
+        debug!(request = id.0, attempt, server = server.0, pooled = begun, "an attempt is made");
         self.watched.sent(id, server);
         self.running += 1;
     }
@@ -186,6 +187,7 @@
         elapsed: Duration,
         hit: Option<bool>,
     ) {
+        debug!(request = id.0, attempt, ?outcome, ms = elapsed.as_millis() as u64, "an attempt has ended");
         // Guards against: a large value cut off, since the end of an attempt that came second ends its request.
         let settled = self.open.get(&id).is_none_or(|open| open.answer.is_none() && !open.flows);
         let elapsed = elapsed.as_micros() as Micros;
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tracing::warn;
 
 use crate::call::{Answer, Call};
 use crate::message::{Arrival, Message};
@@ -63,7 +64,7 @@
         let (sender, answer) = oneshot::channel();
         // A driver that is gone drops the sender, and the request ends as failed.
         let _ = self.to.send(Message::Arrived(Arrival { id, call: Arc::new(call), at, answer: sender }));
-        Ok(Pending { id, answer, answered: false, to: self.to.clone(), _open_id: open_id, _held: held })
+        Ok(Pending { id, answer, answered: false, to: self.to.clone(), open_id, _held: held })
     }
 
     /// A request was answered as failed before it was opened: it counts as such.
@@ -74,6 +75,7 @@
 
     /// A request that was read gets no answer, though its client has not left.
     pub fn left_unanswered(&self, pending: &Pending) {
+        warn!(request = pending.id.0, id = %String::from_utf8_lossy(&pending.open_id.id), "closed unanswered");
         self.book.violations().count(Rule::ClosedUnanswered, pending.id.0);
     }
 
@@ -96,7 +98,7 @@
     answer: oneshot::Receiver<Answer>,
     answered: bool,
     to: UnboundedSender<Message>,
-    _open_id: OpenId,
+    open_id: OpenId,
     _held: Held,
 }
 
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -4,6 +4,7 @@
 //! front: the [`Hall`] takes connections of any number of listeners and bounds them together, and a session
 //! for each connection reads, opens requests at the core, writes the answers in order and knows when to part.
 
+mod close_reason;
 pub mod door;
 mod hall;
 pub mod memcache;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -14,7 +14,9 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
+use tracing::debug;
 
+use crate::close_reason::CloseReason;
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use crate::seats::{Guest, Seat};
 use crate::shared::{LARGE, Shared};
@@ -133,14 +135,19 @@
     }
 
     pub async fn run(mut self, mut stream: TcpStream) {
-        // Whether it ended by a break or between requests is all one here.
-        let _ = self.serve(&mut stream).await;
-        self.owed.clear(); // those who wait are gone
+        let peer = stream.peer_addr().ok();
+        let reason = self.serve(&mut stream).await.unwrap_or_else(CloseReason::from);
+        let (owed, unread) = (self.owed.len(), self.buffer.len());
+        debug!(?peer, owed, unread, "a client's connection closes: {reason}");
+        if reason.is_clients_own() {
+            self.owed.clear(); // nobody waits for these
+        }
         drop(stream);
         self.hall.left.notify_waiters();
     }
 
-    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+    /// Serves the connection to its end; tells why it ends. An error is the client's, or [`CloseReason`] has its kind.
+    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<CloseReason> {
         stream.set_nodelay(true)?;
         let (mut reader, mut writer) = stream.split();
         let (mut bearing, large) = (self.hall.bearing.clone(), self.hall.large.clone());
@@ -152,8 +159,8 @@
             let manner = bearing.borrow_and_update().manner;
             let parting = self.parting(manner, unowed, just_answered);
             let over = self.hall.requests.are_over();
-            if unowed && (self.broken.is_some() || self.quits || over) || parting == When::AtOnce {
-                return writer.shutdown().await;
+            if let Some(reason) = self.done(unowed, over, parting) {
+                return writer.shutdown().await.map(|()| reason);
             }
             just_answered = false;
             let guest = unowed.then(|| self.guest());
@@ -174,7 +181,7 @@
                 biased;
                 received = read_or_wait_for_close(&mut reader, &mut self.buffer, self.expected, wanted, &large, reading, &mut unread) => {
                     match received? {
-                        Received::Bytes(0) => return Ok(()),
+                        Received::Bytes(0) => return Ok(CloseReason::ClientLeft),
                         Received::Bytes(read) => self.received(read, &mut unread),
                         Received::Places(held, readable) => {
                             self.large = Some(held);
@@ -189,28 +196,45 @@
                     tokio::select! {
                         biased;
                         written = self.write_answers(&mut writer, &text, flow) => written?,
-                        seen = wait_for_close(reader.as_ref(), &mut unread) => return seen,
+                        seen = wait_for_close(reader.as_ref(), &mut unread) => return seen.map(|()| CloseReason::ClientLeft),
                     }
                     self.since = Instant::now();
                     just_answered = true;
                 }
                 () = yield_now(), if self.more => {}
                 // Only once nothing has come: what has is read first.
-                () = yield_now(), if parting == When::Unheard => return writer.shutdown().await,
+                () = yield_now(), if parting == When::Unheard => {
+                    return writer.shutdown().await.map(|()| CloseReason::ShuttingDown);
+                }
                 () = sleep_until(self.born + NEW), if parting == When::Known => {}
                 Ok(()) = bearing.changed() => {}
                 () = sleep_until(give_up_at), if may_give_up => {
                     let mut text = BytesMut::new();
                     self.protocol.part(Parting::Silent, &mut text);
                     write_all(&mut writer, &text).await?;
-                    return writer.shutdown().await;
+                    return writer.shutdown().await.map(|()| self.gave_up());
                 }
-                () = Seat::cleared(&mut seat) => return writer.shutdown().await,
+                () = Seat::cleared(&mut seat) => return writer.shutdown().await.map(|()| CloseReason::Evicted),
             }
             self.begin();
         }
     }
 
+    /// Why the connection is to be closed now, if it is.
+    fn done(&self, unowed: bool, over: bool, parting: When) -> Option<CloseReason> {
+        match unowed {
+            true if self.broken.is_some() => Some(CloseReason::Malformed),
+            true if self.quits => Some(CloseReason::Quit),
+            true if over => Some(CloseReason::ProcessEnds),
+            _ => (parting == When::AtOnce).then_some(CloseReason::ShuttingDown),
+        }
+    }
+
+    /// Why a client is waited for no longer.
+    fn gave_up(&self) -> CloseReason {
+        if self.broken.is_some() { CloseReason::Malformed } else { CloseReason::NoWholeCommand }
+    }
+
     /// Bytes have come. Those that lay unread for a while count from when they were first seen.
     fn received(&mut self, read: usize, unread: &mut Option<Instant>) {
         self.read_at = Instant::now();
