--- /dev/null
+++ b/crates/lilacquay/tests/answers.rs
@@ -0,0 +1,241 @@
+//! What a client is owed for each request: one whole answer, made for that request, or a connection whose end it can tell.
+
+mod common;
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use common::*;
+use lilacquay_codec::memcache::{HEADER, Opcode, Packet, Status};
+
+/// A final answer is due so long after the client's time is up, and what sockets allow beyond it.
+const FINAL_ANSWER: Duration = Duration::from_millis(500 + 50);
+/// A second answer that comes later than this is no longer what a connection's rest guards against.
+const SECOND_ANSWER: Duration = Duration::from_millis(10);
+/// A value that flows, in bytes.
+const LARGE: usize = 999_999;
+
+struct Site {
+    cache: Fake,
+    origin: Fake,
+    _discovery: Fake,
+    node: Node,
+}
+
+impl Site {
+    fn new() -> Site {
+        let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+        let node = Node::start(&list(41, &[("s-1", cache.addr)], origin.addr), discovery.addr);
+        Site { cache, origin, _discovery: discovery, node }
+    }
+}
+
+/// Reads until the connection ends; tells how many bytes came, and when it ended.
+fn read_to_end(client: &mut Client) -> (usize, Instant) {
+    let read = client.read_to_end();
+    (read, Instant::now())
+}
+
+// ---- answers that come twice ----
+
+/// Asks twice in a row; the first answer comes once more, so long after it. Tells the second answer, unless the machine was
+/// too slow for the test's purpose.
+fn answer_behind_a_second_one(site: &Site, client: &mut Client, late: Duration) -> Option<String> {
+    client.rest(); // a connection of before may be used
+    client.get("k1", "c=read,d=1900");
+    let mut first = site.cache.call();
+    let text = "*3\r\n$5\r\nfirst\r\n$3\r\nhit\r\n$-1\r\n";
+    first.answer(text);
+    assert_eq!(client.answer().as_deref(), Some("first"));
+    let answered = Instant::now();
+    sleep(late / 2);
+    client.get("k2", "c=read,d=1900");
+    let second = site.cache.call();
+    sleep((answered + late).saturating_duration_since(Instant::now()));
+    let _ = first.try_answer(text.as_bytes()); // its connection may be closed by now
+    let in_time = answered.elapsed() < SECOND_ANSWER;
+    sleep(Duration::from_millis(30)); // it is read
+    let _ = second.try_value("second"); // its connection may be closed by now
+    client.answer().filter(|_| in_time)
+}
+
+#[test]
+fn a_caches_second_answer_was_served_to_the_next_request_on_its_connection() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    for late in [3, 4, 6, 8].map(Duration::from_millis) {
+        let start = Instant::now();
+        let second = loop {
+            assert!(start.elapsed() < PATIENCE, "the machine is too slow");
+            if let Some(answer) = answer_behind_a_second_one(&site, &mut client, late) {
+                break answer;
+            }
+        };
+        assert_eq!(second, "second", "a second answer {late:?} late");
+    }
+}
+
+#[test]
+fn an_origins_second_answer_was_served_to_the_next_request_on_its_connection() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    let mut tried = 0;
+    let start = Instant::now();
+    while tried < 4 {
+        assert!(start.elapsed() < PATIENCE, "the machine is too slow");
+        client.rest();
+        client.set("k1", "c=put,d=1900", "on");
+        let mut first = site.origin.call();
+        let text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+        first.answer(text);
+        assert_eq!(client.answer().as_deref(), Some("first"));
+        let answered = Instant::now();
+        sleep(Duration::from_millis(3));
+        client.set("k2", "c=put,d=1900", "on");
+        let mut second = site.origin.call();
+        let _ = first.try_answer(text.as_bytes()); // its connection may be closed by now
+        tried += u32::from(answered.elapsed() < SECOND_ANSWER);
+        sleep(Duration::from_millis(30)); // it is read
+        let _ = second.try_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+        assert_eq!(client.answer().as_deref(), Some("second"));
+    }
+}
+
+// ---- large values that stop ----
+
+/// Begins a value and falls silent; the client waits for so long. Fails unless its connection ends in time.
+fn assert_ends_in_time(mut client: Client, sent: Instant, wait: Duration) {
+    let (read, ended) = read_to_end(&mut client);
+    assert!(read > 100, "its head and what came of it were passed on");
+    let took = ended.duration_since(sent);
+    assert!(took >= wait, "cut off before its time was up: {took:?}");
+    assert!(took <= wait + FINAL_ANSWER, "held for {took:?}");
+}
+
+const SHORT: Duration = Duration::from_millis(400);
+
+#[test]
+fn a_client_was_held_for_seconds_by_a_caches_value_that_stopped_in_the_middle() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    let sent = Instant::now();
+    client.get("k", "c=read,d=400");
+    let mut call = site.cache.call();
+    call.answer(format!("*3\r\n${LARGE}\r\n{}", "x".repeat(100)));
+    assert_ends_in_time(client, sent, SHORT);
+}
+
+#[test]
+fn a_client_was_held_for_seconds_by_an_origins_value_that_stopped_in_the_middle() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    let sent = Instant::now();
+    client.get("k", "c=read,d=400");
+    site.cache.call().miss();
+    let mut fetch = site.origin.call();
+    fetch.answer(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{}", "x".repeat(100)));
+    assert_ends_in_time(client, sent, SHORT);
+}
+
+#[test]
+fn a_client_was_held_for_seconds_by_a_memcached_value_that_stopped_in_the_middle() {
+    let (node, cache, _others) = memcached_node();
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.get("k", "c=read,d=400");
+    let mut call = cache.call();
+    let (extras, value) = (vec![0; 4].into(), vec![b'x'; LARGE].into());
+    let opcode = Opcode::Get as u8;
+    let whole =
+        Packet { opcode, opaque: call.opaque(), status: Status::OK.0, extras, value, ..Packet::default() };
+    call.answer(&response(&whole)[..HEADER + 200]);
+    assert_ends_in_time(client, sent, SHORT);
+}
+
+/// A node whose one cache speaks memcached, and what stands round it.
+fn memcached_node() -> (Node, Fake, (Fake, Fake, tempfile::TempDir)) {
+    let (cache, origin, discovery) = (Fake::memcached(), Fake::http(), Fake::http());
+    let folder = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| std::fs::write(folder.path().join(name), text).unwrap();
+    let known = list(41, &[("s-1", cache.addr)], origin.addr);
+    let discovery_addr = discovery.addr;
+    let config = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_addr}","seed":"8c1f30d27a5be964","limits":{{"sockets":1024,"memory_mb":192}},"known":{known},"settings":{SETTINGS}}}"#,
+    );
+    file("node.json", &config);
+    file("memcached.toml", "[boxes]\nkinds = [\"m\"]\n");
+    file("serve.toml", "node = \"node.json\"\nmemcached = \"memcached.toml\"\n");
+    let node = Node::serving(folder.path());
+    (node, cache, (origin, discovery, folder))
+}
+
+#[test]
+fn a_value_that_came_slowly_past_its_time_was_cut_off() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    client.get("k", "c=read,d=400");
+    let mut call = site.cache.call();
+    let (length, pieces) = (100_000, 10);
+    call.answer(format!("*3\r\n${length}\r\n"));
+    let piece = "x".repeat(length / pieces);
+    let giving = std::thread::spawn(move || {
+        for _ in 0..pieces {
+            sleep(Duration::from_millis(200));
+            call.answer(&piece);
+        }
+        call.answer("\r\n$3\r\nhit\r\n$-1\r\n");
+    });
+    assert_eq!(client.answer().map(|value| value.len()), Some(length));
+    giving.join().unwrap();
+}
+
+#[test]
+fn a_value_that_broke_in_the_middle_took_the_answers_behind_it_along() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    client.send(&["CACHE.GET", "large", "first", "c=read,d=1900"]);
+    client.send(&["CACHE.GET", "k", "second", "c=read,d=1900"]);
+    let (one, other) = (site.cache.call(), site.cache.call());
+    let (mut breaking, second) = if one.key() == "large" { (one, other) } else { (other, one) };
+    second.value("v");
+    breaking.answer(format!("*3\r\n${LARGE}\r\n{}", "x".repeat(100)));
+    sleep(Duration::from_millis(100));
+    breaking.close();
+    let first = client.answer();
+    assert_eq!(first.as_deref(), Some("-ERR failed"), "it is not whole, and nothing of it was passed on");
+    assert_eq!(client.answer().as_deref(), Some("v"), "read, forwarded and never answered");
+}
+
+#[test]
+fn a_large_value_before_other_answers_comes_whole() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    client.send(&["CACHE.GET", "large", "first", "c=read,d=1900"]);
+    client.send(&["CACHE.GET", "k", "second", "c=read,d=1900"]);
+    let (one, other) = (site.cache.call(), site.cache.call());
+    let (mut flowing, second) = if one.key() == "large" { (one, other) } else { (other, one) };
+    second.value("v");
+    let value = "x".repeat(LARGE);
+    let giving = std::thread::spawn(move || {
+        flowing.answer(format!("*3\r\n${LARGE}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n"))
+    });
+    assert_eq!(client.answer().map(|value| value.len()), Some(LARGE));
+    giving.join().unwrap();
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
+// ---- commands that can't be read ----
+
+#[test]
+fn a_request_before_a_command_that_cannot_be_read_was_closed_on_unanswered() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    client.send(&["CACHE.GET", "k", "first", "c=read,d=60000"]);
+    let _silent = site.cache.call();
+    let broken = Instant::now();
+    client.write("garbage\r\n");
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert_eq!(client.answer().as_deref(), Some("-ERR malformed command"));
+    assert_eq!(client.answer(), None, "it is closed");
+    assert!(broken.elapsed() < Duration::from_secs(3), "{:?}", broken.elapsed());
+}
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -592,6 +592,12 @@
         self.reader.get_ref().set_nonblocking(false).unwrap();
         if come { self.answer() } else { None }
     }
+    /// Reads until the node closes or resets the connection; tells how many bytes came.
+    pub fn read_to_end(&mut self) -> usize {
+        let mut all = Vec::new();
+        let _ = self.reader.read_to_end(&mut all); // a reset is an end too
+        all.len()
+    }
     /// Whether the node has closed, with nothing before the end.
     pub fn closed(&mut self) -> bool {
         let stream = self.reader.get_ref();
--- a/crates/lilacquay/tests/deadlines.rs
+++ b/crates/lilacquay/tests/deadlines.rs
@@ -124,6 +124,25 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
 }
 
+/// The kernel writes bytes again after this time where the first were dropped.
+const REPEATED: Duration = Duration::from_millis(200);
+
+/// A full backlog drops the last packet of a handshake too: the node's end is up, and its first bytes are repeated later.
+#[test]
+fn a_late_connection_whose_first_bytes_were_repeated_told_a_longer_deadline_than_was_left() {
+    let late = late();
+    let (node, _origin, _discovery) = node_with(late.local_addr().unwrap(), SETTINGS);
+    let mut client = node.client();
+    let sent = Instant::now();
+    client.get("k", "c=read,d=1900");
+    let cache = opened(late);
+    let call = cache.call();
+    let left = WAIT.saturating_sub(sent.elapsed() + REPEATED);
+    assert!(told(&call) <= left + SLACK, "told {:?}, {left:?} would be left", told(&call));
+    call.value("v");
+    assert_eq!(client.answer().as_deref(), Some("v"));
+}
+
 #[test]
 fn a_retry_whose_connection_came_up_late_was_told_a_longer_deadline_than_the_client_had_left() {
     let (site, late) = (Site::new(SETTINGS), late());
--- a/crates/lilacquay/tests/shutdown.rs
+++ b/crates/lilacquay/tests/shutdown.rs
@@ -10,12 +10,14 @@
 
 /// The longest deadline of the tests' settings.
 const LONGEST: Duration = Duration::from_secs(2);
+/// A machine that is busy lets a process end so much later than it could.
+const MACHINE: Duration = Duration::from_millis(30);
 /// The platform kills so long after SIGTERM, beside the longest deadline, at the earliest.
 const KILL: Duration = Duration::from_millis(700);
 
 struct Site {
     cache: Fake,
-    _origin: Fake,
+    origin: Fake,
     _discovery: Fake,
     node: Node,
 }
@@ -24,7 +26,7 @@
     fn new() -> Site {
         let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
         let node = Node::start(&list(41, &[("s-1", cache.addr)], origin.addr), discovery.addr);
-        Site { cache, _origin: origin, _discovery: discovery, node }
+        Site { cache, origin, _discovery: discovery, node }
     }
 }
 
@@ -121,3 +123,48 @@
     let took = told.expect("told to end").elapsed();
     assert!(took < LONGEST + KILL, "{took:?}");
 }
+
+#[test]
+fn commands_behind_a_large_write_were_closed_on_unread_while_the_node_ended() {
+    let mut site = Site::new();
+    let mut client = site.node.client();
+    client.ping();
+    site.node.terminate();
+    let told = Instant::now();
+    sleep_until(told + Duration::from_millis(300));
+    let get = |n: usize| words(&["CACHE.GET", &format!("k{n}"), &format!("id{n}"), "c=read,d=1900"]);
+    let write = words(&["CACHE.SET", "w", "write", "c=put,d=1900", &"x".repeat(40_000)]);
+    client.write([get(1), write, get(2), get(3)].concat());
+    site.cache.call().value("first");
+    assert_eq!(client.answer().as_deref(), Some("first"));
+    let store = site.origin.call();
+    sleep_until(told + Duration::from_millis(1100));
+    store.http("200 OK", "receipt");
+    assert_eq!(client.answer().as_deref(), Some("receipt"));
+    for _ in 0..2 {
+        site.cache.call().value("v");
+        assert_eq!(client.answer().as_deref(), Some("v"), "what lay behind the write was closed on");
+    }
+    assert!(site.node.exit());
+}
+
+#[test]
+fn answers_were_dropped_since_the_process_was_held_up_over_the_last_of_its_time() {
+    let mut site = Site::new();
+    let mut clients: Vec<Client> = (0..5).map(|_| site.node.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&["CACHE.GET", &format!("k{n}"), &format!("id{n}"), "c=read,d=60000"]);
+        let _silent = site.cache.call();
+    }
+    site.node.terminate();
+    let told = Instant::now();
+    sleep_until(told + LONGEST + Duration::from_millis(480));
+    site.node.signal("-STOP");
+    sleep_until(told + LONGEST + Duration::from_millis(630));
+    site.node.signal("-CONT");
+    for client in &mut clients {
+        assert!(client.answer().is_some(), "closed on, though it was read");
+    }
+    assert!(site.node.exit());
+    assert!(told.elapsed() < LONGEST + KILL + MACHINE, "{:?}", told.elapsed());
+}
