Rest connections to servers for 25 ms, so that second answers are seen before reuse

Cause: a connection was used again 1 ms after its answer. An answer names no request, so that whatever comes behind a command is taken for its answer.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -10,18 +10,21 @@
 use paddlefold::setup::{Setup, micros};
 use paddlefold::{Member, MemberState, ServerId};
 use tokio::time::Instant;
+use tracing::debug;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::flow::Opening;
 use crate::list::{Entry, List, State};
 use crate::permit::{ClientLeft, InvariantChecker};
-use crate::upstream::{Connection, Standing, Target};
+use crate::upstream::{Connection, IdleState, Standing, Target};
 
-/// A connection rests for so long before it is used again, if another can be.
-///
-/// Guards against: what the server has still sent or done after its answer, a close or some bytes more, which
-/// meets the next request when that follows at once.
-const REST: Duration = Duration::from_millis(1);
+/// A connection rests for so long before it is used again, so that an answer which a server sends twice is seen on it: such
+/// answers come some milliseconds late, and no answer says which request it belongs to.
+const REST: Duration = Duration::from_millis(25);
+/// It rests for so long at a server that has lately sent something unasked ...
+const LONG_REST: Duration = Duration::from_millis(100);
+/// ... which counts as lately for so long.
+const DISTRUST: Duration = Duration::from_secs(60);
 
 struct Server<C> {
     /// As the list has it.
@@ -32,6 +35,8 @@
     standing: Standing,
     /// When something was last sent there.
     sent: Option<Instant>,
+    /// When it last sent something unasked.
+    unasked: Option<Instant>,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, C)>,
 }
@@ -144,6 +149,7 @@
             kind: entry.kind.as_str().into(),
             standing: Standing::new(),
             sent: None,
+            unasked: None,
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -198,9 +204,9 @@
         let server = self.servers.get_mut(&id)?;
         server.sent = Some(now);
         let mut pooled = None;
-        while let Some(place) = server.idle.iter().rposition(|(since, _)| now >= *since + REST) {
+        while let Some(place) = server.rested(now) {
             let (since, connection) = server.idle.remove(place);
-            if now < since + limit && connection.is_live() {
+            if now < since + limit && server.may_use(&connection, now) {
                 pooled = Some(connection);
                 break;
             }
@@ -227,12 +233,14 @@
     pub fn sweep(&mut self, now: Instant) {
         let (limit, spare) = (self.idle_limit, self.spare_limit);
         for server in self.servers.values_mut() {
-            let last = server.idle.len().saturating_sub(1);
+            let mut idle = std::mem::take(&mut server.idle);
+            let last = idle.len().saturating_sub(1);
             let mut place = 0..;
-            server.idle.retain(|(since, connection)| {
+            idle.retain(|(since, connection)| {
                 let limit = if place.next() < Some(last) { spare } else { limit };
-                now < *since + limit && connection.is_live()
+                now < *since + limit && server.may_use(connection, now)
             });
+            server.idle = idle;
         }
     }
 
@@ -273,7 +281,24 @@
     }
 }
 
-impl<C> Server<C> {
+impl<C: Connection> Server<C> {
+    /// The place of the connection used last that has rested.
+    fn rested(&self, now: Instant) -> Option<usize> {
+        let distrusted = self.unasked.is_some_and(|at| now < at + DISTRUST);
+        let rest = if distrusted { LONG_REST } else { REST };
+        self.idle.iter().rposition(|(since, _)| now >= *since + rest)
+    }
+
+    /// Whether a connection that was idle can be used; notes what the server has sent unasked.
+    fn may_use(&mut self, connection: &C, now: Instant) -> bool {
+        let state = connection.idle_state();
+        if state == IdleState::Unasked {
+            debug!(server = self.entry.id, "something came unasked: its connections rest longer");
+            self.unasked = Some(now);
+        }
+        state == IdleState::Live
+    }
+
     /// Gone: attempts under way send nothing more. Returns false, to drop it.
     fn close(&self) -> bool {
         self.standing.set(false);
@@ -291,8 +316,8 @@
     struct Numbered(u32);
 
     impl Connection for Numbered {
-        fn is_live(&self) -> bool {
-            true
+        fn idle_state(&self) -> IdleState {
+            IdleState::Live
         }
         async fn ask(self, _: &Call, _: &Target, _: Instant) -> (Reply, Option<Self>) {
             unreachable!("nothing is sent")
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,4 +43,4 @@
 pub use requests::{InUse, Pending, Requests};
 pub use shortage::is_own_shortage;
 pub use steering::{Holding, ServerNow};
-pub use upstream::{Connection, Reply, Target, Upstream};
+pub use upstream::{Connection, IdleState, Reply, Target, Upstream};
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -33,8 +33,13 @@
 
 /// A connection to a server, between requests. Dropped, also while a request is out, it closes at once.
 pub trait Connection: Sized + Send + 'static {
-    /// Whether the server has left it open and said nothing unasked.
-    fn is_live(&self) -> bool;
+    /// What the server has done to it since its last answer.
+    fn idle_state(&self) -> IdleState;
+
+    /// Whether the server has left it open and sent nothing unasked.
+    fn is_live(&self) -> bool {
+        self.idle_state() == IdleState::Live
+    }
 
     /// Sends one request, whose client waits until then, and waits for its answer. What is told of that time is
     /// reckoned as it is written. The connection comes back if another request may use it.
@@ -46,6 +51,17 @@
     ) -> impl Future<Output = (Reply, Option<Self>)> + Send;
 }
 
+/// What a server has done to an idle connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing: it can be used.
+    Live,
+    /// It has closed or broken it.
+    Closed,
+    /// It has sent something that nobody asked for, such as an answer once more.
+    Unasked,
+}
+
 /// Where an attempt goes.
 #[derive(Clone)]
 pub struct Target {
--- a/crates/core/tests/steering.rs
+++ b/crates/core/tests/steering.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use lilacquay_core::{
-    Answer, Call, Connection, Driver, Entry, Handles, List, Made, Members, Options, Orders, Outcome, Pending,
-    Portion, Reply, Requests, State, Target, Upstream,
+    Answer, Call, Connection, Driver, Entry, Handles, IdleState, List, Made, Members, Options, Orders,
+    Outcome, Pending, Portion, Reply, Requests, State, Target, Upstream,
 };
 use lilacquay_steer::{Ask, Done, Kept, Order, Refusal};
 use paddlefold::setup::{Setup, Stated};
@@ -29,8 +29,8 @@
 }
 
 impl Connection for Scripted {
-    fn is_live(&self) -> bool {
-        true
+    fn idle_state(&self) -> IdleState {
+        IdleState::Live
     }
     async fn ask(self, _: &Call, target: &Target, _: Instant) -> (Reply, Option<Scripted>) {
         let (answer, reply) = oneshot::channel();
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Bytes, BytesMut};
 use lilacquay_core::{
-    Answer, Call, Connection, Driver, Entry, Gauges, Handles, List, Made, Options, Outcome, Portion, Reply,
-    State, Target, Upstream,
+    Answer, Call, Connection, Driver, Entry, Gauges, Handles, IdleState, List, Made, Options, Outcome,
+    Portion, Reply, State, Target, Upstream,
 };
 use lilacquay_figures::{Book, Rule, Violations};
 use lilacquay_fronts::resp::Resp;
@@ -97,8 +97,8 @@
 }
 
 impl Connection for Scripted {
-    fn is_live(&self) -> bool {
-        true
+    fn idle_state(&self) -> IdleState {
+        IdleState::Live
     }
     async fn ask(self, call: &Call, _: &Target, _: Instant) -> (Reply, Option<Scripted>) {
         let (answer, reply) = oneshot::channel();
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -624,7 +624,7 @@
     /// Spends the time that a connection to a server rests before it is used again.
     pub fn rest(&mut self) {
         let start = Instant::now();
-        while start.elapsed() < Duration::from_millis(20) {
+        while start.elapsed() < Duration::from_millis(40) {
             self.ping();
         }
     }
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -11,14 +11,18 @@
 use hyper::header::{HOST, IF_MATCH, IF_NONE_MATCH};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use lilacquay_core::{Call, Connection, FLOW_LIMIT, Feeder, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
+use lilacquay_core::{
+    Call, Connection, FLOW_LIMIT, Feeder, IdleState, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb,
+};
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::facts::{time_to_tell, with_time_left};
+use crate::idle_state;
 use crate::pass::{self, Broken};
+use crate::shared_stream::SharedStream;
 
 /// What one connection buffers of an answer, in bytes.
 const BUFFER: usize = 32 << 10;
@@ -39,6 +43,7 @@
 pub struct Origin {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    stream: SharedStream,
 }
 
 impl Drop for Origin {
@@ -57,17 +62,22 @@
         // A large value's reader may be slow: what stands here meanwhile is bounded.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER);
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let stream = SharedStream::new(stream);
+        let (sender, connection) =
+            builder.handshake(TokioIo::new(stream.clone())).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // a break shows in the request that is out
         });
-        Ok(Origin { sender, task })
+        Ok(Origin { sender, task, stream })
     }
 }
 
 impl Connection for Origin {
-    fn is_live(&self) -> bool {
-        !self.sender.is_closed()
+    fn idle_state(&self) -> IdleState {
+        match idle_state(self.stream.socket()) {
+            IdleState::Live if self.sender.is_closed() => IdleState::Closed,
+            state => state,
+        }
     }
 
     async fn ask(mut self, call: &Call, target: &Target, deadline: Instant) -> (Reply, Option<Self>) {
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -6,13 +6,14 @@
 pub mod memcache;
 mod pass;
 pub mod resp;
+mod shared_stream;
 
 use std::collections::BTreeSet;
 use std::io;
 use std::mem::MaybeUninit;
 use std::sync::Arc;
 
-use lilacquay_core::{Call, Connection, Reply, Target, Upstream};
+use lilacquay_core::{Call, Connection, IdleState, Reply, Target, Upstream};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -62,11 +63,11 @@
 }
 
 impl Connection for Link {
-    fn is_live(&self) -> bool {
+    fn idle_state(&self) -> IdleState {
         match self {
-            Link::Cache(cache) => cache.is_live(),
-            Link::Memcache(cache) => cache.is_live(),
-            Link::Origin(origin) => origin.is_live(),
+            Link::Cache(cache) => cache.idle_state(),
+            Link::Memcache(cache) => cache.idle_state(),
+            Link::Origin(origin) => origin.idle_state(),
         }
     }
 
@@ -88,8 +89,13 @@
     }
 }
 
-/// Whether the peer has neither sent anything nor closed.
-fn nothing_has_come(stream: &TcpStream) -> bool {
+/// What the peer has done to a connection that nothing was asked on. The kernel is asked itself: what the runtime has seen
+/// may be a moment old.
+fn idle_state(stream: &TcpStream) -> IdleState {
     let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(stream).peek(&mut byte).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    match SockRef::from(stream).peek(&mut byte) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Live,
+        Err(_) | Ok(0) => IdleState::Closed,
+        Ok(_) => IdleState::Unasked,
+    }
 }
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -10,11 +10,13 @@
 use lilacquay_codec::memcache::{
     HEADER, Head, KEY_LIMIT, Opcode, Packet, Status, next_response, response_head,
 };
-use lilacquay_core::{Call, Connection, FLOW_LIMIT, Made, Outcome, Reply, Target, Terms, VALUE_LIMIT, Verb};
+use lilacquay_core::{
+    Call, Connection, FLOW_LIMIT, IdleState, Made, Outcome, Reply, Target, Terms, VALUE_LIMIT, Verb,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::nothing_has_come;
+use crate::idle_state;
 use crate::pass::{pass, read};
 
 /// The longest body of an answer: a value, its flags, and some room for a key, which none should bring.
@@ -42,8 +44,8 @@
 }
 
 impl Connection for Memcache {
-    fn is_live(&self) -> bool {
-        nothing_has_come(&self.stream)
+    fn idle_state(&self) -> IdleState {
+        idle_state(&self.stream)
     }
 
     async fn ask(mut self, call: &Call, target: &Target, _: Instant) -> (Reply, Option<Self>) {
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -4,13 +4,15 @@
 
 use bytes::{Buf, BytesMut};
 use lilacquay_codec::resp::{Frame, Malformed, long_head, next_frame, put_array, put_bulk};
-use lilacquay_core::{Call, Connection, FLOW_LIMIT, Feeder, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb};
+use lilacquay_core::{
+    Call, Connection, FLOW_LIMIT, Feeder, IdleState, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use crate::facts::{time_to_tell, time_to_write, with_time_left};
-use crate::nothing_has_come;
+use crate::idle_state;
 use crate::pass::{pass, read};
 
 /// A value of 64 KiB and what stands round it.
@@ -37,9 +39,8 @@
 }
 
 impl Connection for Cache {
-    /// Asks the kernel itself: what the runtime has seen of the peer's close may be a moment old.
-    fn is_live(&self) -> bool {
-        nothing_has_come(&self.0)
+    fn idle_state(&self) -> IdleState {
+        idle_state(&self.0)
     }
 
     async fn ask(mut self, call: &Call, target: &Target, deadline: Instant) -> (Reply, Option<Self>) {
