End a value that has stopped by half a second after its client's time

Cause: a server that gave nothing was given up after 5 s, whatever time the client had; the attempt's own timer ends when its value begins to flow.

Change: the deadline goes along with a value. One that stops is given up 0.4 s after its client's time; one that still comes then is passed on, and given up once it stops for 1 s. Caches, memcached caches and the origin alike.

--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -95,7 +95,7 @@
                 Some(_) => (Reply::of(Outcome::ConnectError), None),
                 None => (Reply::of(Outcome::Reset), None),
             },
-            Ok(answer) => match read(call.verb, answer, target).await {
+            Ok(answer) => match read(call.verb, answer, target, deadline).await {
                 Ok(reply) => (reply, Some(self)),
                 // Guards against: the rest of such an answer, read as the next one's.
                 Err(outcome) => (Reply::of(outcome), None),
@@ -134,10 +134,11 @@
 }
 
 /// Passes a large value on. Its connection is of use again after its last byte.
-async fn pass(mut body: Incoming, mut feeder: Feeder) -> Result<Reply, Broken> {
+async fn pass(mut body: Incoming, mut feeder: Feeder, deadline: Instant) -> Result<Reply, Broken> {
     while feeder.left() > 0 {
         let room = feeder.room().await?;
-        let frame = pass::read(async { body.frame().await.transpose().map_err(io::Error::other) }).await?;
+        let frame =
+            pass::read(deadline, async { body.frame().await.transpose().map_err(io::Error::other) }).await?;
         match frame.map(|frame| frame.into_data()) {
             Some(Ok(bytes)) => feeder.feed(bytes, room)?,
             Some(Err(_trailers)) => {}
@@ -148,7 +149,12 @@
 }
 
 /// What an answer means; an error if its connection is of no further use.
-async fn read(verb: Verb, answer: Response<Incoming>, target: &Target) -> Result<Reply, Outcome> {
+async fn read(
+    verb: Verb,
+    answer: Response<Incoming>,
+    target: &Target,
+    deadline: Instant,
+) -> Result<Reply, Outcome> {
     let (status, headers) = (answer.status(), answer.headers());
     let flags = headers.get("X-Flags").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
     let never_ran = headers.get("X-Unprocessed").is_some_and(|v| v == "1");
@@ -156,7 +162,7 @@
         && let Some(length) = large(&answer)
     {
         let feeder = target.begin(length, flags);
-        return pass(answer.into_body(), feeder).await.map_err(Broken::outcome);
+        return pass(answer.into_body(), feeder, deadline).await.map_err(Broken::outcome);
     }
     let body = match Limited::new(answer.into_body(), VALUE_LIMIT).collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -48,7 +48,7 @@
         idle_state(&self.stream)
     }
 
-    async fn ask(mut self, call: &Call, target: &Target, _: Instant) -> (Reply, Option<Self>) {
+    async fn ask(mut self, call: &Call, target: &Target, deadline: Instant) -> (Reply, Option<Self>) {
         // Nothing is sent of a key that the protocol can't carry.
         if call.key.len() > KEY_LIMIT {
             return (Reply::of(Outcome::Ignored), Some(self));
@@ -63,7 +63,7 @@
         buffer.clear();
         loop {
             if let Some(head) = response_head(&buffer).filter(|head| self.is_large(call.verb, head)) {
-                return self.flow(buffer, head, target).await;
+                return self.flow(buffer, head, target, deadline).await;
             }
             match next_response(&mut buffer, LONGEST) {
                 Ok(Some(answer)) => {
@@ -92,16 +92,22 @@
     }
 
     /// Passes a large value on.
-    async fn flow(mut self, mut come: BytesMut, head: Head, target: &Target) -> (Reply, Option<Self>) {
+    async fn flow(
+        mut self,
+        mut come: BytesMut,
+        head: Head,
+        target: &Target,
+        deadline: Instant,
+    ) -> (Reply, Option<Self>) {
         while come.len() < HEADER + FLAGS {
-            if !matches!(read(self.stream.read_buf(&mut come)).await, Ok(1..)) {
+            if !matches!(read(deadline, self.stream.read_buf(&mut come)).await, Ok(1..)) {
                 return (Reply::of(Outcome::Reset), None);
             }
         }
         come.advance(HEADER);
         let flags = come.get_u32();
         let mut feeder = target.begin(head.value, flags);
-        match pass(&mut self.stream, &mut come, &mut feeder).await {
+        match pass(&mut self.stream, &mut come, &mut feeder, deadline).await {
             Err(broken) => (Reply::of(broken.outcome()), None),
             Ok(()) => (Reply { hit: Some(true), ..Reply::of(Outcome::Ok) }, come.is_empty().then_some(self)),
         }
--- a/crates/upstreams/src/pass.rs
+++ b/crates/upstreams/src/pass.rs
@@ -6,10 +6,14 @@
 use bytes::{Bytes, BytesMut};
 use lilacquay_core::{Feeder, Outcome, Room, Unwanted};
 use tokio::io::{AsyncRead, AsyncReadExt};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
-/// A server that gives no byte of a value for so long has stalled.
-pub(crate) const STALL: Duration = Duration::from_secs(5);
+/// A server that gives no byte of a value for so long has stalled, whatever time its client has left.
+const STALL: Duration = Duration::from_secs(5);
+/// A value that has stopped is given up so long after its client's time, which is owed its end within half a second.
+const LAST_ANSWER: Duration = Duration::from_millis(400);
+/// A value that goes on past its client's time is given up once it stops for so long.
+const LATE_STALL: Duration = Duration::from_secs(1);
 
 /// Why a value has not come to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +46,7 @@
     stream: &mut (impl AsyncRead + Unpin),
     come: &mut BytesMut,
     feeder: &mut Feeder,
+    deadline: Instant,
 ) -> Result<(), Broken> {
     while feeder.left() > 0 {
         let room = feeder.room().await?;
@@ -49,7 +54,7 @@
             // A buffer of its own for each piece, which ends with the piece. Capacity is what is granted.
             let mut piece = BytesMut::with_capacity(room.bytes());
             let mut limited = (&mut *stream).take(room.bytes() as u64);
-            if read(limited.read_buf(&mut piece)).await? == 0 {
+            if read(deadline, limited.read_buf(&mut piece)).await? == 0 {
                 return Err(Broken::Server);
             }
             *come = piece;
@@ -73,9 +78,20 @@
     Ok(feeder.feed(piece, room)?)
 }
 
-/// Waits for bytes, but not for ever.
-pub(crate) async fn read<T>(read: impl Future<Output = io::Result<T>>) -> Result<T, Broken> {
-    match timeout(STALL, read).await {
+/// When a server that has just been read from is given up, unless it gives more.
+fn stalled_at(now: Instant, deadline: Instant) -> Instant {
+    match now < deadline {
+        true => (now + STALL).min(deadline + LAST_ANSWER),
+        false => now + LATE_STALL,
+    }
+}
+
+/// Waits for bytes of a value whose client's time is up at the deadline.
+pub(crate) async fn read<T>(
+    deadline: Instant,
+    read: impl Future<Output = io::Result<T>>,
+) -> Result<T, Broken> {
+    match timeout_at(stalled_at(Instant::now(), deadline), read).await {
         Ok(Ok(read)) => Ok(read),
         Ok(Err(_)) | Err(_) => Err(Broken::Server),
     }
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -59,7 +59,7 @@
         loop {
             if let Some((head, length)) = long_head(&buffer, VALUE_LIMIT).filter(|(_, n)| *n <= FLOW_LIMIT) {
                 buffer.advance(head);
-                return self.flow(buffer, target.begin(length, 0)).await;
+                return self.flow(buffer, target.begin(length, 0), deadline).await;
             }
             match next_frame(&mut buffer, LARGEST) {
                 Ok(Some(frame)) => {
@@ -80,20 +80,25 @@
 
 impl Cache {
     /// Passes a large value on, and reads what stands behind it.
-    async fn flow(mut self, mut come: BytesMut, mut feeder: Feeder) -> (Reply, Option<Self>) {
-        if let Err(broken) = pass(&mut self.0, &mut come, &mut feeder).await {
+    async fn flow(
+        mut self,
+        mut come: BytesMut,
+        mut feeder: Feeder,
+        deadline: Instant,
+    ) -> (Reply, Option<Self>) {
+        if let Err(broken) = pass(&mut self.0, &mut come, &mut feeder, deadline).await {
             return (Reply::of(broken.outcome()), None);
         }
         drop(feeder); // the client has all of it, whatever comes behind
         let served = |hit| Reply { hit, ..Reply::of(Outcome::Ok) };
-        match self.note(&mut come).await {
+        match self.note(&mut come, deadline).await {
             Ok(hit) => (served(hit), come.is_empty().then_some(self)),
             Err(_) => (served(None), None),
         }
     }
 
     /// What stands behind a value: the end of its line, how the read went, and the load report.
-    async fn note(&mut self, come: &mut BytesMut) -> Result<Option<bool>, Malformed> {
+    async fn note(&mut self, come: &mut BytesMut, deadline: Instant) -> Result<Option<bool>, Malformed> {
         let (mut frames, mut line_ended) = (Vec::new(), false);
         loop {
             if !line_ended && come.len() >= 2 {
@@ -112,7 +117,7 @@
             if let [note, _report] = &frames[..] {
                 return hit(note);
             }
-            if !matches!(read(self.0.read_buf(come)).await, Ok(1..)) {
+            if !matches!(read(deadline, self.0.read_buf(come)).await, Ok(1..)) {
                 return Err(Malformed);
             }
         }
