Answer requests before a command that can't be read, before the connection closes

What callers would see: good requests, then bytes that are no command: 1.5 s later one error line and a close, for any number of requests that had been read and sent on.

Cause: the session gave up and said one last word, without regard to what it owed.

Change: what is owed is answered then, as failed where its answer is not there, and the error behind it; each command has its answer in its place.

The test failed before (the first answer was the error of something else, the second the close). tests/node.rs held the old form, one error for two commands; it now wants both answers, in order, in the same 3 s.

--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -40,7 +40,7 @@
 const SLOWEST: usize = 256 << 10;
 /// ... with no pause longer than this.
 const PAUSE: Duration = Duration::from_millis(500);
-/// After what can't be read, answers that are owed are waited for so long.
+/// After what can't be read, answers that are owed are waited for so long; those still out are given as failed then.
 const PARTING: Duration = Duration::from_millis(1500);
 
 /// When a connection is closed because the node takes leave of it.
@@ -209,8 +209,7 @@
                 () = sleep_until(self.born + NEW), if parting == When::Known => {}
                 Ok(()) = bearing.changed() => {}
                 () = sleep_until(give_up_at), if may_give_up => {
-                    let mut text = BytesMut::new();
-                    self.protocol.part(Parting::Silent, &mut text);
+                    let text = self.last_answers();
                     write_all(&mut writer, &text).await?;
                     return writer.shutdown().await.map(|()| self.gave_up());
                 }
@@ -230,6 +229,24 @@
         }
     }
 
+    /// What is said to a client that is waited for no longer: nothing that was read stays without its answer.
+    fn last_answers(&mut self) -> BytesMut {
+        let mut text = BytesMut::new();
+        if self.broken.is_none() {
+            self.protocol.part(Parting::Silent, &mut text);
+        }
+        for owed in std::mem::take(&mut self.owed) {
+            match owed {
+                Owed::Ready(ready) => text.extend_from_slice(&ready),
+                Owed::Waiting(mut waiting) => {
+                    let answer = waiting.pending.try_answer().unwrap_or(Answer::Failed);
+                    self.protocol.answer(waiting.reply, answer, &mut text);
+                }
+            }
+        }
+        text
+    }
+
     /// Why a client is waited for no longer.
     fn gave_up(&self) -> CloseReason {
         if self.broken.is_some() { CloseReason::Malformed } else { CloseReason::NoWholeCommand }
--- a/crates/lilacquay/tests/node.rs
+++ b/crates/lilacquay/tests/node.rs
@@ -591,7 +591,8 @@
     let _silent = s.caches[0].call();
     let sent = Instant::now();
     client.write("GET k\r\n");
-    assert!(client.answer().unwrap().starts_with("-ERR"));
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"), "of the request before it");
+    assert!(client.answer().unwrap().starts_with("-ERR"), "of what can't be read");
     assert_eq!(client.answer(), None);
     assert!(sent.elapsed() < Duration::from_secs(3), "{:?}", sent.elapsed());
 }
