Read on open connections to the end of a process, also behind a large write

Cause: a large write is read to its own last byte, so that the commands behind it lie in the kernel and the session's buffer is empty when the write is answered. From 1 s after SIGTERM (0.5 s after idle connections close) such a connection was closed at once, without a look at what had come.

--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -7,7 +7,7 @@
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, Flow, Pending};
-use lilacquay_life::Manner;
+use lilacquay_life::{Bearing, Manner};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
@@ -33,9 +33,9 @@
 const PATIENCE: Duration = Duration::from_millis(2500);
 /// What is on its way on a new connection has come after so long.
 const NEW: Duration = Duration::from_millis(300);
-/// Where connections between requests are to be closed, one that has always something more to say is closed all the
-/// same after so long.
-const LAST_WORDS: Duration = Duration::from_millis(500);
+/// Where a node leaves service and runs on, a connection on which there is always something more to read is closed all the
+/// same so long after idle ones. A node that ends reads until its end.
+const LAST_COMMANDS: Duration = Duration::from_millis(1800);
 /// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
 const SLOWEST: usize = 256 << 10;
 /// ... with no pause longer than this.
@@ -156,8 +156,9 @@
         let mut unread = None;
         loop {
             let unowed = self.owed.is_empty();
-            let manner = bearing.borrow_and_update().manner;
-            let parting = self.parting(manner, unowed, just_answered);
+            let now = *bearing.borrow_and_update();
+            let manner = now.manner;
+            let parting = self.parting(now, unowed, just_answered);
             let over = self.hall.requests.are_over();
             if let Some(reason) = self.done(unowed, over, parting) {
                 return writer.shutdown().await.map(|()| reason);
@@ -281,8 +282,8 @@
     /// Whether the connection is to be closed, the way the node goes.
     ///
     /// Guards against: a request that is closed on, unread, though it had come already.
-    fn parting(&mut self, manner: Manner, unowed: bool, just_answered: bool) -> When {
-        let now = Instant::now();
+    fn parting(&mut self, bearing: Bearing, unowed: bool, just_answered: bool) -> When {
+        let (now, manner, runs_on) = (Instant::now(), bearing.manner, bearing.accepts);
         let unwanted = match manner {
             Manner::Idle => *self.unwanted.get_or_insert(now),
             Manner::Stay | Manner::BehindAnswer => {
@@ -298,7 +299,7 @@
             Manner::BehindAnswer if just_answered && self.asked => When::Unheard,
             Manner::BehindAnswer => When::Not,
             Manner::Idle if !self.heard && now < self.born + NEW => When::Known,
-            Manner::Idle if now >= unwanted + LAST_WORDS => When::AtOnce,
+            Manner::Idle if runs_on && now >= unwanted + LAST_COMMANDS => When::AtOnce,
             Manner::Idle => When::Unheard,
         }
     }
