Write the last answers of a process that was held up over the end of its time

What callers would see: all requests that a process still owes lost at once, where it is held up for up to 0.15 s over the last 0.1 s of its time.

Cause: the last answers are given by a timer 0.1 s before the end, and the end is another timer. Held up over both, the process met them in one turn and ended without a look at the first.

Change: at its end the core is told once more to answer all, and up to 60 ms of the 0.1 s before the earliest kill are used to write that.

--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -39,6 +39,8 @@
 
 /// A core that has failed has answered all as failed; its connections have so long to say so.
 const LAST_WRITES: Duration = Duration::from_millis(600);
+/// The time between a process's own end and the earliest kill is 0.1 s; a process that still owes answers then writes them.
+const LAST_MOMENT: Duration = Duration::from_millis(60);
 /// Orders on the node that wait to be carried out.
 const COMMANDS: usize = 16;
 
@@ -201,7 +203,7 @@
         tokio::select! {
             _ = stop.recv() => keeper.stop(),
             () = &mut told => {}
-            () = keeper.follow() => break Ok(()), // what is not answered by now can't be
+            () = keeper.follow() => break Ok(()),
             ended = &mut driver => break Err(format!("{ended:?}")),
             Some(ended) = accepting.join_next() => if keeper.bearing().borrow().accepts {
                 break Err(format!("a listener ended: {ended:?}"));
@@ -218,6 +220,9 @@
         let _ = timeout_at(Instant::now() + LAST_WRITES, hall.emptied()).await; // what is owed fails with the core
         return Err(Failure::Core(what));
     }
+    // A process that was held up may come here before the core has given its last answers.
+    to_core.end_at(Instant::now());
+    let _ = timeout_at(Instant::now() + LAST_MOMENT, hall.emptied()).await; // killed soon after
     Ok(())
 }
 
