Collect a large value before other answers, so that a broken one takes none along

What callers would see: several commands on a connection, a value over 64 KiB among them that breaks in the middle. Its head has been written, so that the connection must end, and the commands behind it, read and forwarded, get no answer.

Change: where commands wait behind a large value it is collected first, in the places that long commands share, for 1 s at most; broken or without a place it is answered as failed, and the answers behind it follow. What comes later than 1 s is passed on as it comes, since a client may not wait 2 s for it. A client with nothing behind gets its value as before, as it comes.

The test failed before (the head and an end, in place of two answers) and passes.

--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -13,7 +13,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tracing::debug;
 
 use crate::close_reason::CloseReason;
@@ -36,6 +36,9 @@
 /// Where a node leaves service and runs on, a connection on which there is always something more to read is closed all the
 /// same so long after idle ones. A node that ends reads until its end.
 const LAST_COMMANDS: Duration = Duration::from_millis(1800);
+/// A large value before other answers is collected for so long; then what has come is passed on, since a client may not wait
+/// 2 s for the rest of what its server gives.
+const COLLECTING: Duration = Duration::from_secs(1);
 /// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
 const SLOWEST: usize = 256 << 10;
 /// ... with no pause longer than this.
@@ -67,6 +70,12 @@
     _places: Option<OwnedSemaphorePermit>,
 }
 
+/// An answer whose value has begun to come.
+struct LargeAnswer<R> {
+    reply: R,
+    flow: Flow,
+}
+
 pub(crate) struct Session<P: Protocol> {
     hall: Arc<Shared>,
     protocol: P,
@@ -192,11 +201,11 @@
                     }
                 }
                 (owed, answer) = next(&mut self.owed), if !unowed => {
-                    let (text, flow) = self.answers(owed, answer);
+                    let (text, large) = self.answers(owed, answer);
                     // Guards against: attempts that begin for a client which has left while its answers are written.
                     tokio::select! {
                         biased;
-                        written = self.write_answers(&mut writer, &text, flow) => written?,
+                        written = self.write_answers(&mut writer, text, large) => written?,
                         seen = wait_for_close(reader.as_ref(), &mut unread) => return seen.map(|()| CloseReason::ClientLeft),
                     }
                     self.since = Instant::now();
@@ -265,18 +274,33 @@
         }
     }
 
-    /// Writes answers, and the large value behind them as it comes.
+    /// Writes answers, and the large value behind them: as it comes, or once it is whole where commands wait behind it.
     async fn write_answers(
         &mut self,
         writer: &mut WriteHalf<'_>,
-        text: &[u8],
-        flow: Option<Flow>,
+        mut text: BytesMut,
+        large: Option<LargeAnswer<P::Reply>>,
     ) -> io::Result<()> {
-        write_all(writer, text).await?;
-        match flow {
-            Some(flow) => self.pass_on(writer, flow).await,
-            None => Ok(()),
+        let Some(LargeAnswer { reply, mut flow }) = large else { return write_all(writer, &text).await };
+        if self.owed.is_empty() && self.buffer.is_empty() {
+            self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
+            write_all(writer, &text).await?;
+            return self.pass_on(writer, flow, 0).await;
+        }
+        write_all(writer, &text).await?;
+        text.clear();
+        let mut value = BytesMut::new();
+        let places = u32::try_from(flow.length().div_ceil(LARGE)).unwrap_or(u32::MAX);
+        let held = self.hall.large.clone().try_acquire_many_owned(places);
+        // Guards against: a value that breaks in the middle and takes the answers behind it along.
+        if held.is_err() || collect(&mut flow, &mut value).await == Collected::Broken {
+            self.protocol.answer(reply, Answer::Failed, &mut text);
+            return write_all(writer, &text).await;
         }
+        self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
+        write_all(writer, &text).await?;
+        write_all(writer, &value).await?;
+        self.pass_on(writer, flow, value.len()).await
     }
 
     /// Whether the connection is to be closed, the way the node goes.
@@ -350,9 +374,14 @@
         }
     }
 
-    /// Writes a large value as it comes.
-    async fn pass_on(&mut self, writer: &mut WriteHalf<'_>, mut flow: Flow) -> io::Result<()> {
-        let mut left = flow.length();
+    /// Writes a large value as it comes, from where so many bytes of it are written.
+    async fn pass_on(
+        &mut self,
+        writer: &mut WriteHalf<'_>,
+        mut flow: Flow,
+        written: usize,
+    ) -> io::Result<()> {
+        let mut left = flow.length().saturating_sub(written);
         while left > 0 {
             // Guards against: a value that is not whole and looks so. The client sees the connection end.
             let piece = flow.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
@@ -364,9 +393,12 @@
         write_all(writer, &text).await
     }
 
-    /// The text of an answer, and of those behind it that are at hand; if the last of them is a large value's head, the
-    /// value.
-    fn answers(&mut self, first: Owed<P::Reply>, answer: Option<Answer>) -> (BytesMut, Option<Flow>) {
+    /// The text of an answer, and of those behind it that are at hand, up to the first large value.
+    fn answers(
+        &mut self,
+        first: Owed<P::Reply>,
+        answer: Option<Answer>,
+    ) -> (BytesMut, Option<LargeAnswer<P::Reply>>) {
         let (mut text, mut owed, mut answer) = (BytesMut::new(), first, answer);
         loop {
             match (owed, answer) {
@@ -374,8 +406,7 @@
                 (Owed::Ready(ready), _) => text.extend_from_slice(&ready),
                 (Owed::Waiting(waited), Some(Answer::Begun(flow))) => {
                     self.open -= 1;
-                    self.protocol.begin(waited.reply, flow.length(), flow.flags(), &mut text);
-                    return (text, Some(flow));
+                    return (text, Some(LargeAnswer { reply: waited.reply, flow }));
                 }
                 (Owed::Waiting(waited), answer) => {
                     self.open -= 1;
@@ -474,6 +505,28 @@
     }
 }
 
+/// What came of waiting for the whole of a value.
+#[derive(PartialEq, Eq)]
+enum Collected {
+    Whole,
+    /// Not all of it by its time; the rest may still come.
+    InPart,
+    Broken,
+}
+
+/// Takes a value's bytes until it is whole or has been waited for long enough.
+async fn collect(flow: &mut Flow, value: &mut BytesMut) -> Collected {
+    let until = Instant::now() + COLLECTING;
+    while value.len() < flow.length() {
+        match timeout_at(until, flow.next()).await {
+            Ok(Some(piece)) => value.extend_from_slice(&piece.bytes),
+            Ok(None) => return Collected::Broken,
+            Err(_) => return Collected::InPart,
+        }
+    }
+    Collected::Whole
+}
+
 /// The next one owed, once it can be answered, with its answer if it waited for one. Cancelled between, it
 /// loses nothing.
 async fn next<R>(owed: &mut VecDeque<Owed<R>>) -> (Owed<R>, Option<Answer>) {
