--- a/crates/lilacquay/tests/answers.rs
+++ b/crates/lilacquay/tests/answers.rs
@@ -10,6 +10,8 @@
 
 /// A final answer is due so long after the client's time is up, and what sockets allow beyond it.
 const FINAL_ANSWER: Duration = Duration::from_millis(500 + 50);
+/// What sockets allow beyond a time limit.
+const SOCKETS: Duration = Duration::from_millis(50);
 /// A second answer that comes later than this is no longer what a connection's rest guards against.
 const SECOND_ANSWER: Duration = Duration::from_millis(10);
 /// A value that flows, in bytes.
@@ -101,6 +103,32 @@
     }
 }
 
+#[test]
+fn a_slow_origins_second_answer_was_served_to_the_next_request_on_its_connection() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    for round in 0..40 {
+        client.set("k1", "c=put,d=1900", "on");
+        let mut first = site.origin.call();
+        sleep(Duration::from_millis(40));
+        first.answer(text);
+        assert_eq!(client.answer().as_deref(), Some("first"));
+        if round < 30 {
+            continue; // that it is slow is known by then
+        }
+        sleep(Duration::from_millis(3));
+        client.set("k2", "c=put,d=1900", "on");
+        let mut second = site.origin.call();
+        let _ = first.try_answer(text.as_bytes()); // its connection may be closed by now
+        sleep(Duration::from_millis(40));
+        let _ = second.try_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+        // Where it can't be told which answer is whose, it is failed.
+        assert_ne!(client.answer().as_deref(), Some("first"));
+        sleep(Duration::from_millis(40));
+    }
+}
+
 // ---- large values that stop ----
 
 /// Begins a value and falls silent; the client waits for so long. Fails unless its connection ends in time.
@@ -224,6 +252,35 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
 }
 
+// ---- a process that is held up ----
+
+/// A process may be held up for so long.
+const HELD_UP: Duration = Duration::from_millis(150);
+
+#[test]
+fn a_request_that_came_while_the_process_was_held_up_was_answered_after_its_client_had_closed() {
+    let site = Site::new();
+    // Requests whose times end one after the other: the process has something to do at any moment of the hold-up.
+    let mut others: Vec<Client> = (0..25).map(|_| site.node.client()).collect();
+    let start = Instant::now();
+    for (n, client) in others.iter_mut().enumerate() {
+        let facts = format!("c=read,d={}", 500 + 20 * n);
+        client.send(&["CACHE.GET", &format!("other{n}"), &format!("other{n}"), &facts]);
+    }
+    let mut client = site.node.client();
+    client.ping();
+    sleep((start + Duration::from_millis(600)).saturating_duration_since(Instant::now()));
+    site.node.signal("-STOP");
+    let held_up = Instant::now();
+    let (sent, wait) = (Instant::now(), Duration::from_millis(400));
+    client.get("k", "c=read,d=400");
+    sleep((held_up + HELD_UP).saturating_duration_since(Instant::now()));
+    site.node.signal("-CONT");
+    assert!(client.answer().is_some());
+    let took = sent.elapsed();
+    assert!(took <= wait + SOCKETS, "answered {:?} after its time", took - wait);
+}
+
 // ---- commands that can't be read ----
 
 #[test]
--- a/crates/paddlefold/tests/rules.rs
+++ b/crates/paddlefold/tests/rules.rs
@@ -480,6 +480,24 @@
     assert_eq!(to, Some(fresh));
 }
 
+#[test]
+fn a_request_that_waited_in_vain_was_refused_only_as_its_time_ended() {
+    const ANSWERS_TAKE: Micros = 50_000;
+    let mut node = Node::new(settings(Mode::Aside), 6);
+    node.warm_up();
+    let deadline = node.now + SECOND;
+    node.read(1_000, "k");
+    node.read(1_001, "k");
+    assert_eq!(sent(&node.end(1_000, 0, Outcome::Miss, 5_000)), Some(ServerId(99)));
+    let waits = node.end(1_001, 0, Outcome::Miss, 5_000);
+    assert_eq!(sent(&waits), None, "waits for the fetch that is out");
+    let (after, token) = timer(&waits).expect("an end of its waiting");
+    assert!(node.now + after + ANSWERS_TAKE / 2 <= deadline, "no attempt can be answered from then on");
+    assert!(node.now + after + 2 * ANSWERS_TAKE >= deadline, "one still could");
+    node.now += after;
+    assert!(answered(&node.timer(token)));
+}
+
 #[test]
 fn misuse_is_harmless() {
     let mut node = Node::new(settings(Mode::Through), 4);
