Reckon what came during a hold-up from its beginning

Cause: a request's time is counted from when it is read, and the kernel tells no time of arrival. Where the process was held up that is too late by up to the whole of it.

Change: hold_up.rs keeps when the thread was last seen to run and when its next timer is due. A gap of 20 ms between two marks, or a timer met so late, is a hold-up; what is read within 10 ms of its end is reckoned from its beginning, 0.15 s at most. It may refuse a request that came late in a hold-up a little early. No system call is added but two readings of the clock a turn.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -30,6 +30,7 @@
 use crate::directory::{Directory, News};
 use crate::flow::Begun;
 use crate::governor::Governor;
+use crate::hold_up;
 use crate::list::List;
 use crate::members::Members;
 use crate::message::{Arrival, Fellows, Heritage, InCommon, ListTold, Message, Orders};
@@ -301,6 +302,7 @@
             self.decide();
             log_news(&self.directory.take_news());
             self.gauges.open.store(self.open.len(), Ordering::Relaxed);
+            hold_up::mark(self.timers.peek().map(|next| self.timers.deadline(&next)));
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod driver;
 mod flow;
 mod governor;
+pub mod hold_up;
 mod list;
 mod members;
 mod message;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::{Answer, Call, Flow, Pending};
+use lilacquay_core::{Answer, Call, Flow, Pending, hold_up};
 use lilacquay_life::{Bearing, Manner};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -265,7 +265,8 @@
     /// Bytes have come. Those that lay unread for a while count from when they were first seen.
     fn received(&mut self, read: usize, unread: &mut Option<Instant>) {
         self.read_at = Instant::now();
-        self.came_at = unread.unwrap_or(self.read_at);
+        hold_up::mark(None);
+        self.came_at = unread.unwrap_or(hold_up::arrival(self.read_at));
         if self.buffer.len() < self.buffer.capacity() {
             *unread = None; // there was room for more, and no more
         }
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use lilacquay_core::hold_up;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -69,7 +70,7 @@
         if socket.peek(&mut [0]).await? == 0 {
             return Ok(());
         }
-        unread.get_or_insert_with(Instant::now);
+        unread.get_or_insert_with(|| hold_up::arrival(Instant::now()));
         // The end may stand behind what is not read.
         if socket.ready(Interest::READABLE).await?.is_read_closed() {
             return Ok(());
@@ -90,7 +91,7 @@
 ) -> io::Result<Received> {
     let Some(places) = wanted else { return receive(reader, buffer, expected).await.map(Received::Bytes) };
     reader.readable().await?;
-    let readable = Instant::now();
+    let readable = hold_up::arrival(Instant::now());
     let held = large.clone().acquire_many_owned(places).await.map_err(io::Error::other)?;
     Ok(Received::Places(held, readable))
 }
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -34,6 +34,7 @@
 use cli::{ApplianceArgs, ApplianceOrder, Cli, Command, ConsoleArgs};
 use config::{Config, ConfigError, Source};
 use lilacquay_control::Verb;
+use lilacquay_core::hold_up;
 use node::Failure;
 use restart::Backoff;
 use tokio::runtime::Runtime;
@@ -158,7 +159,9 @@
 }
 
 fn runtime() -> Result<Runtime, Failure> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Failure::Start)
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().on_thread_unpark(hold_up::resume);
+    builder.build().map_err(Failure::Start)
 }
 
 fn end(result: Result<(), impl Display>) -> ExitCode {
