Ask an origin again after a short rest, and believe no answer that comes too early

Change: an origin that seldom answers within 25 ms is asked again after 1 ms, and an answer that comes within 25 ms of the connection's last one is not believed then: the attempt ends as one that may have run. How quick an origin answers is observed; until some answers are known, and at quick ones, the rest is 25 ms. Caches keep it.

A node that is held up just then reads a second answer late and believes it: in the open risks.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -21,6 +21,14 @@
 /// A connection rests for so long before it is used again, so that an answer which a server sends twice is seen on it: such
 /// answers come some milliseconds late, and no answer says which request it belongs to.
 const REST: Duration = Duration::from_millis(25);
+/// An origin that seldom answers within the rest may be asked again after a shorter one: it takes few connections and turns
+/// others away. An answer that comes within the longer rest is not believed then.
+const SHORT_REST: Duration = Duration::from_millis(1);
+/// Seldom is less than this part of its answers ...
+const SELDOM: f64 = 0.25;
+/// ... which counts the latest by this weight, and is so much before any has come.
+const LATEST: f64 = 1.0 / 8.0;
+const UNKNOWN: f64 = 1.0;
 /// It rests for so long at a server that has lately sent something unasked ...
 const LONG_REST: Duration = Duration::from_millis(100);
 /// ... which counts as lately for so long.
@@ -37,6 +45,8 @@
     sent: Option<Instant>,
     /// When it last sent something unasked.
     unasked: Option<Instant>,
+    /// The part of its answers, lately, that came within the rest.
+    quick: f64,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, C)>,
 }
@@ -150,6 +160,7 @@
             standing: Standing::new(),
             sent: None,
             unasked: None,
+            quick: UNKNOWN,
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -203,11 +214,12 @@
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         server.sent = Some(now);
-        let mut pooled = None;
+        let (mut pooled, mut believed_from) = (None, now);
         while let Some(place) = server.rested(now) {
             let (since, connection) = server.idle.remove(place);
             if now < since + limit && server.may_use(&connection, now) {
                 pooled = Some(connection);
+                believed_from = since + REST;
                 break;
             }
         }
@@ -215,11 +227,26 @@
         let (kind, standing) = (kind.clone(), standing.clone());
         let Facts { deadline, left, violations } = facts;
         let invariants = InvariantChecker { id: opening.id, deadline, left, standing, violations };
-        let target =
-            Target { addr: *addr, origin: *origin, kind, invariants, tries: self.tries.clone(), opening };
+        let target = Target {
+            addr: *addr,
+            origin: *origin,
+            kind,
+            believed_from,
+            invariants,
+            tries: self.tries.clone(),
+            opening,
+        };
         Some((target, pooled))
     }
 
+    /// Notes how long an answer of a server took.
+    pub fn answered(&mut self, id: ServerId, took: Duration) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            let quick = if took <= REST { 1.0 } else { 0.0 };
+            server.quick += LATEST * (quick - server.quick);
+        }
+    }
+
     /// Keeps a connection for the next request, if its server still takes some at that address.
     pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
         let spare = self.spare_limit;
@@ -282,10 +309,19 @@
 }
 
 impl<C: Connection> Server<C> {
+    /// How long its connections rest.
+    fn rest(&self, now: Instant) -> Duration {
+        let distrusted = self.unasked.is_some_and(|at| now < at + DISTRUST);
+        match distrusted {
+            true => LONG_REST,
+            false if self.origin && self.quick < SELDOM => SHORT_REST,
+            false => REST,
+        }
+    }
+
     /// The place of the connection used last that has rested.
     fn rested(&self, now: Instant) -> Option<usize> {
-        let distrusted = self.unasked.is_some_and(|at| now < at + DISTRUST);
-        let rest = if distrusted { LONG_REST } else { REST };
+        let rest = self.rest(now);
         self.idle.iter().rposition(|(since, _)| now >= *since + rest)
     }
 
--- a/crates/core/src/driver/attempts.rs
+++ b/crates/core/src/driver/attempts.rs
@@ -135,6 +135,9 @@
         // How long a client takes to read says nothing of the server.
         let began = running.began.filter(|_| reply.outcome == Outcome::Ok);
         let elapsed = began.unwrap_or_else(|| running.sent.elapsed());
+        if reply.outcome == Outcome::Ok {
+            self.directory.answered(server, elapsed);
+        }
         if running.began.is_some() {
             self.flowed(id, reply.outcome);
         }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -71,6 +71,8 @@
     pub origin: bool,
     /// Its kind of machine, by name.
     pub kind: Arc<str>,
+    /// An answer that comes before then is none: it may be the last one of its connection, once more.
+    pub(crate) believed_from: Instant,
     /// What the attempt is held against as it is written.
     pub(crate) invariants: InvariantChecker,
     /// Counts attempts.
@@ -86,6 +88,11 @@
         self.opening.begin(length, flags)
     }
 
+    /// Whether what comes now may be the answer to the request before on the same connection, sent once more.
+    pub fn may_be_repeated(&self) -> bool {
+        Instant::now() < self.believed_from
+    }
+
     /// Tells that an attempt's first byte is about to be written.
     pub(crate) fn begins(&self) {
         self.invariants.begins();
--- a/crates/lilacquay/tests/answers.rs
+++ b/crates/lilacquay/tests/answers.rs
@@ -81,6 +81,11 @@
 fn an_origins_second_answer_was_served_to_the_next_request_on_its_connection() {
     let site = Site::new();
     let mut client = site.node.client();
+    for _ in 0..8 {
+        client.set("k0", "c=put,d=1900", "on"); // that it is quick is known by then
+        site.origin.call().http("200 OK", "receipt");
+        assert_eq!(client.answer().as_deref(), Some("receipt"));
+    }
     let mut tried = 0;
     let start = Instant::now();
     while tried < 4 {
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -95,6 +95,7 @@
                 Some(_) => (Reply::of(Outcome::ConnectError), None),
                 None => (Reply::of(Outcome::Reset), None),
             },
+            Ok(_) if target.may_be_repeated() => (Reply::of(Outcome::Reset), None),
             Ok(answer) => match read(call.verb, answer, target, deadline).await {
                 Ok(reply) => (reply, Some(self)),
                 // Guards against: the rest of such an answer, read as the next one's.
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -72,6 +72,7 @@
             }
             match self.0.read_buf(&mut buffer).await {
                 Ok(0) | Err(_) => return (Reply::of(Outcome::Reset), None),
+                Ok(_) if target.may_be_repeated() => return (Reply::of(Outcome::Reset), None),
                 Ok(_) => {}
             }
         }
