Refuse a request that waits as soon as no attempt would be sent for it any more

Cause: a request that waits for a place or for another's fetch was woken as its time ended, though Balancer::send turns down what has less than 0.7 (1.75 for writes) of the usual time left. For the last 35 to 100 ms nothing could become of it.

Change: it is answered when that time begins.

--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -361,7 +361,7 @@
             if let Some(waiting) = self.flights.get_mut(&r.key) {
                 waiting.push(id);
                 r.wait = Wait::Flight;
-                return self.wake(id, Micros::MAX, out);
+                return self.wake_in_vain(id, out);
             }
             self.flights.insert(r.key, Vec::new());
             r.leads = true;
@@ -383,7 +383,7 @@
         r.wait = Wait::Place;
         let in_time = if self.now <= r.arrived.saturating_add(r.aim / 2) { 1.0 } else { 0.01 };
         r.ticket = self.gates[gate].push(r.worth * if r.write { 1e3 } else { in_time }, id);
-        self.wake(id, Micros::MAX, out);
+        self.wake_in_vain(id, out);
     }
 
     /// Gives free places to those who wait for them.
@@ -462,9 +462,7 @@
     fn send(&mut self, id: RequestId, to: ServerId, known: Option<Known>, out: &mut Vec<Action>) -> bool {
         let (Some(r), Some(s)) = (self.open.get(&id), self.servers.get(&to)) else { return false };
         let timing = if s.member.origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
-        // Guards against: reads refused untried because their clients have grown impatient.
-        let least = timing.base * if r.repeatable() { HOPEFUL } else { IN_TIME };
-        let late = self.now + least as Micros >= r.deadline;
+        let late = self.now + self.least_time(r, s.member.origin) >= r.deadline;
         if late || self.permitted(r, s, None).is_err() {
             return false;
         }
@@ -495,6 +493,20 @@
         true
     }
 
+    /// The least time in which an attempt is worth a send.
+    fn least_time(&self, r: &Open, origin: bool) -> Micros {
+        let timing = if origin { &self.gates[ORIGIN].timing } else { &self.timings[r.class] };
+        // Guards against: reads refused untried because their clients have grown impatient.
+        (timing.base * if r.repeatable() { HOPEFUL } else { IN_TIME }) as Micros
+    }
+
+    /// Until when a request that waits without an attempt could still be sent: to the origin if it waits for
+    /// a place there, to a cache if for one there or for a fetch.
+    fn sendable_until(&self, r: &Open) -> Micros {
+        let to_origin = r.wait == Wait::Place && self.settings.mode == Mode::Aside && (r.write || r.missed());
+        r.deadline.saturating_sub(self.least_time(r, to_origin).max(self.settings.quantum))
+    }
+
     /// Every final answer of our own: refused where that is surely harmless, else failed.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.open.get(&id).filter(|r| !r.settled && !r.streaming) else { return };
@@ -535,9 +547,19 @@
             self.hedge(id, out);
         } else if r.wait == Wait::Pause || self.now + self.settings.quantum >= r.deadline {
             self.advance(id, out);
+        } else if self.now >= self.sendable_until(r) {
+            self.finish(id, out);
+        } else {
+            self.wake_in_vain(id, out);
         }
     }
 
+    /// A timer for a request that waits without an attempt, due when none would be sent any more.
+    fn wake_in_vain(&self, id: RequestId, out: &mut Vec<Action>) {
+        let left = self.sendable_until(&self.open[&id]).saturating_sub(self.now);
+        out.push(Action::SetTimer { after: left.max(1), token: TimerToken(id.0.into()) });
+    }
+
     /// A timer for a request, due before its end at the latest.
     fn wake(&self, id: RequestId, after: Micros, out: &mut Vec<Action>) {
         let left = self.open[&id].deadline.saturating_sub(self.now + self.settings.quantum);
