--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -3,10 +3,9 @@
 use std::time::Duration;
 
 use paddlefold::Outcome;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 
 use crate::call::Call;
-use crate::directory::{Connecting, Pooled};
 use crate::permit::PermitRequester;
 use crate::shortage::is_own_shortage;
 use crate::upstream::{Connection, Reply, Target, Upstream};
@@ -17,64 +16,25 @@
 /// is less by what that takes beyond the slack of 0.15 s, and by no more than half of what is left.
 const REPEATED_BYTES: Duration = Duration::from_millis(80);
 
-/// How an attempt ended, and what became of its connection.
-pub(crate) struct Done<C> {
-    pub reply: Reply,
-    /// The connection, if another request may use it.
-    pub connection: Option<C>,
-    /// What came of making a new one, if that was tried.
-    pub connecting: Option<Connecting>,
-}
-
-impl<C> Done<C> {
-    fn without_connection(outcome: Outcome, connecting: Option<Connecting>) -> Self {
-        Done { reply: Reply::of(outcome), connection: None, connecting }
-    }
-}
-
-/// Makes one attempt.
+/// Makes one attempt. The connection comes back if another request may use it.
 pub(crate) async fn run<U: Upstream>(
     upstream: U,
     target: Target,
-    pooled: Option<Pooled<U::Connection>>,
+    pooled: Option<U::Connection>,
     call: &Call,
     mut requester: PermitRequester,
     connect_timeout: Duration,
-) -> Done<U::Connection> {
-    if let Some(connection) = rested(pooled).await {
-        let (reply, connection) = ask(connection, &target, call, &mut requester, Duration::ZERO).await;
-        return Done { reply, connection, connecting: None };
-    }
+) -> (Reply, Option<U::Connection>) {
     let began = Instant::now();
-    let connected = timeout(connect_timeout, upstream.connect(&target)).await;
-    let took = began.elapsed();
-    match connected {
-        Ok(Ok(connection)) => {
-            let (reply, connection) = ask(connection, &target, call, &mut requester, took).await;
-            Done { reply, connection, connecting: Some(Connecting::Up(took)) }
-        }
-        Ok(Err(error)) if is_own_shortage(&error) => Done::without_connection(Outcome::Ignored, None),
-        Ok(Err(_)) | Err(_) => Done::without_connection(Outcome::ConnectError, Some(Connecting::Failed)),
-    }
-}
-
-/// A connection of before, once it has rested, unless its server has closed it or sent something unasked meanwhile.
-async fn rested<C: Connection>(pooled: Option<Pooled<C>>) -> Option<C> {
-    let Pooled { connection, rested_at } = pooled?;
-    if rested_at > Instant::now() {
-        sleep_until(rested_at).await;
-    }
-    connection.is_live().then_some(connection)
-}
-
-/// Asks on a connection that took so long to come up, if the attempt may still begin.
-async fn ask<C: Connection>(
-    connection: C,
-    target: &Target,
-    call: &Call,
-    requester: &mut PermitRequester,
-    connect_time: Duration,
-) -> (Reply, Option<C>) {
+    let connection = match pooled {
+        Some(connection) => connection,
+        None => match timeout(connect_timeout, upstream.connect(&target)).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) if is_own_shortage(&error) => return (Reply::of(Outcome::Ignored), None),
+            Ok(Err(_)) | Err(_) => return (Reply::of(Outcome::ConnectError), None),
+        },
+    };
+    let came_up_late = began.elapsed() >= LATE_HANDSHAKE;
     // What the decision went by may have changed while the connection came up.
     let Some(permit) = requester.permit().await else {
         return (Reply::of(Outcome::Ignored), Some(connection));
@@ -86,9 +46,8 @@
         return (Reply::of(Outcome::ConnectError), None); // closed while it waited for leave: nothing is written
     }
     target.begins();
-    let came_up_late = connect_time >= LATE_HANDSHAKE;
     let deadline = if came_up_late { earlier(permit.deadline) } else { permit.deadline };
-    connection.ask(call, target, deadline).await
+    connection.ask(call, &target, deadline).await
 }
 
 /// The deadline to tell on a connection that came up late.
--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -47,31 +47,10 @@
     unasked: Option<Instant>,
     /// The part of its answers, lately, that came within the rest.
     quick: f64,
-    /// How long a new connection takes to come up, about.
-    connect_time: Duration,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, C)>,
 }
 
-/// A server that turns connections away is held to take so long for one, at least.
-const REFUSED_CONNECT: Duration = Duration::from_millis(100);
-
-/// A connection of before.
-pub(crate) struct Pooled<C> {
-    pub connection: C,
-    /// When it may be used.
-    pub rested_at: Instant,
-}
-
-/// What came of making a new connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Connecting {
-    /// It was up after so long.
-    Up(Duration),
-    /// It did not come up.
-    Failed,
-}
-
 /// What is known of a request whose attempt goes out.
 pub(crate) struct Facts {
     /// When its client's time is up.
@@ -182,7 +161,6 @@
             sent: None,
             unasked: None,
             quick: UNKNOWN,
-            connect_time: Duration::ZERO,
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -225,14 +203,14 @@
         free.next().expect("the ids outnumber the servers")
     }
 
-    /// Where to send to a server, and the connection to use, if one is at hand or will be before a new one is up.
+    /// Where to send to a server, and the connection to use, if one is at hand.
     pub fn check_out(
         &mut self,
         id: ServerId,
         now: Instant,
         opening: Opening,
         facts: Facts,
-    ) -> Option<(Target, Option<Pooled<C>>)> {
+    ) -> Option<(Target, Option<C>)> {
         let limit = self.idle_limit;
         let server = self.servers.get_mut(&id)?;
         server.sent = Some(now);
@@ -240,8 +218,7 @@
         while let Some(place) = server.rested(now) {
             let (since, connection) = server.idle.remove(place);
             if now < since + limit && server.may_use(&connection, now) {
-                let rested_at = since + server.rest(now);
-                pooled = Some(Pooled { connection, rested_at });
+                pooled = Some(connection);
                 believed_from = since + REST;
                 break;
             }
@@ -262,15 +239,6 @@
         Some((target, pooled))
     }
 
-    /// Notes how long a new connection to a server took, or that none came up.
-    pub fn connected(&mut self, id: ServerId, connecting: Connecting) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        server.connect_time = match connecting {
-            Connecting::Up(took) => (server.connect_time * 3 + took) / 4,
-            Connecting::Failed => server.connect_time.max(REFUSED_CONNECT),
-        };
-    }
-
     /// Notes how long an answer of a server took.
     pub fn answered(&mut self, id: ServerId, took: Duration) {
         if let Some(server) = self.servers.get_mut(&id) {
@@ -351,12 +319,10 @@
         }
     }
 
-    /// The place of the connection used last that has rested; else of the one that will have before a new one is up.
+    /// The place of the connection used last that has rested.
     fn rested(&self, now: Instant) -> Option<usize> {
         let rest = self.rest(now);
-        let rested = self.idle.iter().rposition(|(since, _)| now >= *since + rest);
-        let soon = |(since, _): &(Instant, C)| *since + rest <= now + self.connect_time;
-        rested.or_else(|| self.idle.first().is_some_and(soon).then_some(0))
+        self.idle.iter().rposition(|(since, _)| now >= *since + rest)
     }
 
     /// Whether a connection that was idle can be used; notes what the server has sent unasked.
@@ -442,6 +408,6 @@
         let violations = lilacquay_figures::Book::new(Vec::new()).violations();
         let facts = Facts { deadline: now, left: ClientLeft::default(), violations };
         let (_, pooled) = directory.check_out(id, now + KEEPALIVE / 5, opening, facts).expect("it is listed");
-        assert_eq!(pooled.map(|pooled| pooled.connection.0), Some(2));
+        assert_eq!(pooled.map(|connection| connection.0), Some(2));
     }
 }
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -25,7 +25,6 @@
 use tracing::{debug, info, warn};
 
 use crate::admission::Admission;
-use crate::attempt::Done;
 use crate::call::{Answer, Call};
 use crate::clock::Clock;
 use crate::directory::{Directory, News};
@@ -39,7 +38,7 @@
 use crate::portion::Portion;
 use crate::requests::Requests;
 use crate::steering::{ServerNow, Steering};
-use crate::upstream::Upstream;
+use crate::upstream::{Reply, Upstream};
 use crate::watched::{Watched, kind};
 
 /// Kept back from a client's time, for the way of the answer and the grain of timers.
@@ -64,9 +63,10 @@
 struct Ended<C> {
     id: RequestId,
     attempt: usize,
+    reply: Reply,
     server: ServerId,
     addr: std::net::SocketAddr,
-    done: Done<C>,
+    connection: Option<C>,
 }
 
 /// A request that is owed an answer or has an attempt out.
--- a/crates/core/src/driver/attempts.rs
+++ b/crates/core/src/driver/attempts.rs
@@ -11,9 +11,9 @@
 use tracing::debug;
 
 use super::{Driver, Due, Ended, LONGEST_TIMER, Running};
-use crate::attempt::{self, Done};
+use crate::attempt;
 use crate::call::Answer;
-use crate::directory::{Connecting, Facts, Pooled};
+use crate::directory::Facts;
 use crate::flow::{Begun, Opening};
 use crate::permit::{Permit, PermitRequest, PermitRequester};
 use crate::upstream::{Target, Upstream};
@@ -43,8 +43,7 @@
         };
         let timer = Some(self.timers.insert(Due::Attempt(id, attempt), wait.min(LONGEST_TIMER)));
         // With a connection at hand it begins now; without, once that is up.
-        let at_hand = pooled.as_ref().is_some_and(|pooled| pooled.rested_at <= now);
-        let permit = if at_hand { self.permit(id, attempt) } else { None };
+        let permit = pooled.as_ref().and_then(|_| self.permit(id, attempt));
         let task = self.start((id, attempt), server, target, pooled, permit);
         let open = self.open.get_mut(&id).expect("looked up above");
         let begun = permit.is_some();
@@ -59,7 +58,7 @@
         (id, attempt): (RequestId, usize),
         server: ServerId,
         target: Target,
-        pooled: Option<Pooled<U::Connection>>,
+        pooled: Option<U::Connection>,
         permit: Option<Permit>,
     ) -> AbortHandle {
         let (call, to, upstream) = (self.open[&id].call.clone(), self.to_self.clone(), self.upstream.clone());
@@ -67,8 +66,9 @@
         let requester = PermitRequester { id, attempt, to: self.to_permits.clone(), permit };
         let work = async move {
             let addr = target.addr;
-            let done = attempt::run(upstream, target, pooled, &call, requester, connect_timeout).await;
-            let _ = to.send(Ended { id, attempt, server, addr, done }); // nobody waits for it once the node ends
+            let (reply, connection) =
+                attempt::run(upstream, target, pooled, &call, requester, connect_timeout).await;
+            let _ = to.send(Ended { id, attempt, reply, server, addr, connection }); // nobody waits for it once the node ends
         };
         tokio::spawn(work).abort_handle()
     }
@@ -109,9 +109,6 @@
         running.task.abort();
         // Without leave to begin nothing was written: it never ran.
         let never_up = outcome == Outcome::TimedOut && !running.begun;
-        if never_up {
-            self.directory.connected(running.server, Connecting::Failed);
-        }
         let outcome = if never_up { Outcome::ConnectError } else { outcome };
         if let Some(timer) = running.timer.filter(|_| outcome == Outcome::Canceled) {
             self.timers.try_remove(&timer);
@@ -126,11 +123,7 @@
         while let Ok(begun) = self.begun.try_recv() {
             self.begin(begun);
         }
-        let Ended { id, attempt, server, addr, done } = ended;
-        let Done { reply, connection, connecting } = done;
-        if let Some(connecting) = connecting {
-            self.directory.connected(server, connecting);
-        }
+        let Ended { id, attempt, reply, server, addr, connection } = ended;
         let running = self.close(id, attempt);
         if let Some(connection) = connection {
             self.directory.check_in(server, addr, connection, Instant::now());
