Soak second answers, values that stop, answers cut off and large writes in pipelines

Its caches now send answers once more 1 to 8 ms later and begin values that stop; its origin breaks off answers of no told length; its pipelined clients write steadily or in bursts of 4 to 10, one command in nine a write of 40 KB, up to the kill. An answer that breaks off is allowed where a server broke it and its end comes within half a second; a command that had lain for 0.4 s and more when its connection ended is lost, unless a broken value stood before it. Each fault that met a request is counted.

--- a/crates/fleet/src/cache.rs
+++ b/crates/fleet/src/cache.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Micros;
@@ -62,6 +62,8 @@
     Value(u64),
     Failed,
     Spoilt,
+    /// The beginning of a large value, and nothing behind it.
+    Halted,
 }
 
 /// A running box.
@@ -318,10 +320,36 @@
             let frame = self.receive(stream, &mut buffer, next).await?;
             let answer = match words(frame) {
                 Some(words) => self.command(&words, stream, &mut buffer).await?,
-                None => error("ERR words wanted"),
+                None => error("ERR words wanted").into(),
             };
-            stream.write_all(&answer).await?;
+            stream.write_all(&answer.text).await?;
+            match answer.then {
+                Then::Next => {}
+                Then::Once(asked) => self.repeat(&asked, &answer.text, stream, &mut buffer).await?,
+                // Until the node gives it up.
+                Then::Silence => while stream.read_buf(&mut buffer).await? > 0 {},
+            }
+        }
+    }
+
+    /// Sends an answer once more, some milliseconds later, unless the connection ends before.
+    async fn repeat(
+        &self,
+        asked: &Asked,
+        text: &[u8],
+        stream: &mut TcpStream,
+        buffer: &mut BytesMut,
+    ) -> Result<(), End> {
+        let late = Duration::from_millis(lock(&self.rng).u64(REPEATED_LATE_MS));
+        let due = tokio::time::Instant::now() + late;
+        while let Ok(read) = timeout_at(due, stream.read_buf(buffer)).await {
+            if read? == 0 {
+                return Err(End::Closed);
+            }
         }
+        stream.write_all(text).await?;
+        self.note(Event::Repeated(asked.clone()));
+        Ok(())
     }
 
     async fn command(
@@ -329,26 +357,32 @@
         words: &[String],
         stream: &mut TcpStream,
         buffer: &mut BytesMut,
-    ) -> Result<BytesMut, End> {
+    ) -> Result<Written, End> {
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         let asked = match words[..] {
             ["CACHE.GET", key, id, facts] if facts.contains("d=") => Asked::new(key, id, facts, false),
             ["CACHE.SET", key, id, facts, _] if facts.contains("d=") => Asked::new(key, id, facts, true),
-            ["PING"] => return Ok(line(|out| put_simple(out, "PONG"))),
-            ["CLIENT" | "SELECT", ..] => return Ok(line(|out| put_simple(out, "OK"))),
+            ["PING"] => return Ok(line(|out| put_simple(out, "PONG")).into()),
+            ["CLIENT" | "SELECT", ..] => return Ok(line(|out| put_simple(out, "OK")).into()),
             ["CACHE.GET" | "CACHE.SET", ..] => {
                 self.note(Event::Syntax(words.join(" ")));
-                return Ok(error("SYNTAX"));
+                return Ok(error("SYNTAX").into());
             }
-            _ => return Ok(error("ERR unknown command")),
+            _ => return Ok(error("ERR unknown command").into()),
         };
-        Ok(match self.attended(&asked, stream, buffer).await? {
+        let text = match self.attended(&asked, stream, buffer).await? {
             Done::Busy => error("BUSY"),
             Done::Miss => answer(None),
             Done::Value(version) => answer(Some(&value(&asked.id, &asked.key, version))),
             Done::Failed => error("ERR failed"),
             Done::Spoilt => self.spoilt(SPOILT),
-        })
+            Done::Halted => {
+                self.note(Event::Halted(asked));
+                return Ok(Written { text: halted(), then: Then::Silence });
+            }
+        };
+        let twice = self.happens(|faults| faults.twice);
+        Ok(Written { text, then: if twice { Then::Once(asked) } else { Then::Next } })
     }
 
     /// Carries a request out.
@@ -382,6 +416,9 @@
         if self.happens(|faults| faults.fail) {
             return Ok(Done::Failed);
         }
+        if self.plan.speaks == Speaks::Resp && !asked.write && self.happens(|faults| faults.halt) {
+            return Ok(Done::Halted);
+        }
         if self.happens(|faults| faults.spoil) {
             return Ok(Done::Spoilt);
         }
@@ -445,6 +482,42 @@
     b"+never ending ",
 ];
 
+/// A second answer comes so many milliseconds after the first.
+const REPEATED_LATE_MS: std::ops::Range<u64> = 1..9;
+/// A value that halts is announced as so long, and begins with so many bytes.
+const HALTED: usize = 999_999;
+const HALTED_AFTER: usize = 100;
+
+/// What is written for a command, and what follows.
+struct Written {
+    text: BytesMut,
+    then: Then,
+}
+
+enum Then {
+    /// The next command.
+    Next,
+    /// The same answer once more.
+    Once(Asked),
+    /// Nothing more.
+    Silence,
+}
+
+impl From<BytesMut> for Written {
+    fn from(text: BytesMut) -> Self {
+        Written { text, then: Then::Next }
+    }
+}
+
+/// The beginning of a large value.
+fn halted() -> BytesMut {
+    line(|out| {
+        put_array(out, 3);
+        out.put_slice(format!("${HALTED}\r\n").as_bytes());
+        out.put_bytes(b'x', HALTED_AFTER);
+    })
+}
+
 /// The value that a server makes for one request: it names the request's id, so that a client knows its own.
 pub fn value(id: &str, key: &str, version: u64) -> String {
     format!("{id} {key} v{version}")
--- a/crates/fleet/src/clients.rs
+++ b/crates/fleet/src/clients.rs
@@ -21,7 +21,7 @@
 use crate::memcache::{self, NO_ID};
 
 /// The longest answer that a client reads.
-const LONGEST: usize = 128 << 10;
+const LONGEST: usize = 1 << 20;
 /// Most of those who leave do so early: a share of their time between 0 and 1, raised to this power.
 const LEAVE_EARLY: i32 = 3;
 /// How long after a request's time is up its answer is still waited for, to be called late.
@@ -121,6 +121,8 @@
     Failed,
     /// With a close and no answer.
     Lost,
+    /// With the beginning of an answer, whose end its client sees.
+    Broken,
     /// With nothing, long after its time.
     Unanswered,
     /// The node could not be reached.
@@ -321,6 +323,9 @@
     }
 }
 
+/// A value that its server does not finish is ended so long after the client's time at the latest, in microseconds.
+pub const BROKEN_END: Micros = 500_000;
+
 /// What sockets allow beyond a time limit.
 pub const SLACK: Micros = 50_000;
 
@@ -340,6 +345,7 @@
             End::Lost | End::Unanswered | End::Foreign => true,
             End::Unreached | End::Left => false,
             End::Served | End::Refused | End::Failed => ask.is_late(SLACK),
+            End::Broken => ask.is_late(SLACK + BROKEN_END),
         };
         class.broken += u64::from(broken);
         let count = match ask.end {
@@ -359,7 +365,7 @@
                 class.unreached += 1;
                 None
             }
-            End::Foreign | End::Lost | End::Unanswered | End::Left => None,
+            End::Foreign | End::Lost | End::Broken | End::Unanswered | End::Left => None,
         };
         count.into_iter().for_each(|count| _ = count.fetch_add(1, Ordering::Relaxed));
         self.progress.broken.fetch_add(u64::from(broken), Ordering::Relaxed);
@@ -434,6 +440,7 @@
                 End::Foreign
             }
             Ok(Exchanged::Closed) => End::Lost,
+            Ok(Exchanged::Broken) => End::Broken,
             Err(_) => End::Unanswered,
         }
     }
@@ -485,8 +492,10 @@
     Answer(End),
     /// An answer with something behind it, or what can't be read.
     More,
-    /// A close before a whole answer.
+    /// A close before any answer.
     Closed,
+    /// A close behind the beginning of an answer.
+    Broken,
 }
 
 /// Writes a command and reads its answer.
@@ -502,7 +511,8 @@
             None => {}
         }
         match stream.read_buf(&mut buffer).await {
-            Ok(0) | Err(_) => return Exchanged::Closed,
+            Ok(0) | Err(_) if buffer.is_empty() => return Exchanged::Closed,
+            Ok(0) | Err(_) => return Exchanged::Broken,
             Ok(_) => {}
         }
     }
@@ -568,13 +578,18 @@
 }
 
 pub(crate) fn command(key: &str, id: &str, facts: &str, write: bool) -> BytesMut {
+    command_of(key, id, facts, write.then_some(b"tuesday"))
+}
+
+/// A write of a value, or a read if there is none.
+pub(crate) fn command_of(key: &str, id: &str, facts: &str, value: Option<&[u8]>) -> BytesMut {
     let mut text = BytesMut::new();
-    put_array(&mut text, if write { 5 } else { 4 });
-    for part in [if write { "CACHE.SET" } else { "CACHE.GET" }, key, id, facts] {
+    put_array(&mut text, if value.is_some() { 5 } else { 4 });
+    for part in [if value.is_some() { "CACHE.SET" } else { "CACHE.GET" }, key, id, facts] {
         put_bulk(&mut text, part.as_bytes());
     }
-    if write {
-        put_bulk(&mut text, b"tuesday");
+    if let Some(value) = value {
+        put_bulk(&mut text, value);
     }
     text
 }
--- a/crates/fleet/src/fault.rs
+++ b/crates/fleet/src/fault.rs
@@ -20,6 +20,12 @@
     pub spoil: f64,
     /// Requests that run and are answered with an error.
     pub fail: f64,
+    /// Requests of a box whose answer is sent once more some milliseconds later.
+    pub twice: f64,
+    /// Reads of a box that are answered with the beginning of a large value, and no more.
+    pub halt: f64,
+    /// Answers of the origin that tell no length and break off in the middle.
+    pub cut: f64,
     /// New connections are refused.
     pub refuse: bool,
     /// New connections come up late: the kernel tries them again once this has ended.
@@ -38,6 +44,9 @@
             reset_after: 0.0,
             spoil: 0.0,
             fail: 0.0,
+            twice: 0.0,
+            halt: 0.0,
+            cut: 0.0,
             refuse: false,
             late: false,
             memcached: MemcachedFaults::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cache;
 pub mod clients;
 mod clock;
+mod cut_body;
 pub mod discovery;
 pub mod etcd;
 pub mod fault;
--- a/crates/fleet/src/memcache.rs
+++ b/crates/fleet/src/memcache.rs
@@ -52,7 +52,7 @@
         Done::Value(version) => {
             Packet { extras: Bytes::from_static(&[0; 4]), value: value(NO_ID, key, *version).into(), ..plain }
         }
-        Done::Failed | Done::Spoilt => error(Status::INTERNAL_ERROR),
+        Done::Failed | Done::Spoilt | Done::Halted => error(Status::INTERNAL_ERROR),
     };
     let mut out = BytesMut::new();
     answer.put_response(&mut out);
--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,6 +23,7 @@
 
 use crate::cache::{Inner as Box_, value};
 use crate::clock::Micros;
+use crate::cut_body::CutBody;
 use crate::fault::Faults;
 use crate::memcache::missed;
 use crate::record::{Asked, Event, Log};
@@ -94,6 +95,9 @@
     }
 }
 
+/// What the origin answers: a whole text, or one that breaks off.
+type Answer = Response<Either<Full<Bytes>, CutBody>>;
+
 /// A running origin.
 pub struct Origin {
     inner: Arc<Inner>,
@@ -174,7 +178,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, reset: &CancellationToken) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, reset: &CancellationToken) -> Answer {
         self.note(Event::FirstByte);
         if self.happens(|faults| faults.reset_before) {
             reset.cancel();
@@ -186,11 +190,11 @@
         let key = request.uri().path().trim_start_matches('/').to_owned();
         if id.is_empty() || facts.is_empty() || key.is_empty() {
             self.note(Event::Syntax(request.uri().to_string()));
-            return text(StatusCode::BAD_REQUEST, String::new());
+            return text(StatusCode::BAD_REQUEST, String::new()).map(Either::Left);
         }
         let asked = Asked::new(&key, &id, &facts, write);
         if request.into_body().collect().await.is_err() {
-            return text(StatusCode::BAD_REQUEST, String::new());
+            return text(StatusCode::BAD_REQUEST, String::new()).map(Either::Left);
         }
         self.note(Event::Asked(asked.clone()));
         if self.happens(|faults| faults.swallow) {
@@ -199,7 +203,7 @@
         if self.places.available_permits() == 0 && self.waiting.load(Ordering::Relaxed) >= self.plan.slots {
             let mut busy = text(StatusCode::SERVICE_UNAVAILABLE, String::new());
             busy.headers_mut().insert("X-Unprocessed", hyper::header::HeaderValue::from_static("1"));
-            return busy;
+            return busy.map(Either::Left);
         }
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let place = self.places.acquire().await;
@@ -208,7 +212,7 @@
         self.work(&asked, reset).await
     }
 
-    async fn work(&self, asked: &Asked, reset: &CancellationToken) -> Response<Full<Bytes>> {
+    async fn work(&self, asked: &Asked, reset: &CancellationToken) -> Answer {
         let mut faults = self.faults.subscribe();
         let slow = faults.borrow().slow;
         sleep(self.plan.work.mul_f64(slow)).await;
@@ -219,17 +223,22 @@
             std::future::pending::<()>().await;
         }
         if self.happens(|faults| faults.fail) {
-            return text(StatusCode::INTERNAL_SERVER_ERROR, String::new());
+            return text(StatusCode::INTERNAL_SERVER_ERROR, String::new()).map(Either::Left);
         }
         if self.happens(|faults| faults.spoil) {
             // More than a value may hold.
-            return text(StatusCode::OK, "x".repeat(80 << 10));
+            return text(StatusCode::OK, "x".repeat(80 << 10)).map(Either::Left);
+        }
+        if self.happens(|faults| faults.cut) {
+            self.note(Event::Cut(asked.clone()));
+            let whole = value(&asked.id, &asked.key, version);
+            return Response::new(Either::Right(CutBody::new(whole.into())));
         }
         match asked.write {
             true => self.missed.forget(&asked.key),
             false => self.missed.store(&asked.id, &asked.key, version),
         }
-        text(StatusCode::OK, value(&asked.id, &asked.key, version))
+        text(StatusCode::OK, value(&asked.id, &asked.key, version)).map(Either::Left)
     }
 
     /// Has its effect, once for each idempotency key in its window; tells the version.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -31,6 +31,12 @@
     Ran(Asked),
     /// A write was known from its key and had no second effect.
     Discarded(Asked),
+    /// An answer was sent once more, on a connection that was still open.
+    Repeated(Asked),
+    /// The beginning of a large value was sent, and no more will come.
+    Halted(Asked),
+    /// An answer of no told length broke off in the middle.
+    Cut(Asked),
     /// A command that no client sent in this form.
     Syntax(String),
     /// A cold box was pushed over.
--- a/crates/fleet/src/soak/faults.rs
+++ b/crates/fleet/src/soak/faults.rs
@@ -91,11 +91,33 @@
         let after = at + Duration::from_millis(rng.u64(50..900));
         script.push((after, Step::Faults { server, faults: Faults::default() }));
     }
+    script.extend(odd_answers(&mut rng));
     script.extend(at_the_end());
     script.sort_by_key(|(at, _)| *at);
     script
 }
 
+/// Answers that come twice or stop in the middle at some servers, and answers of no told length that break off.
+fn odd_answers(rng: &mut fastrand::Rng) -> Script {
+    let mut script = Script::new();
+    let odd = [
+        Faults { twice: 0.3, ..Faults::default() },
+        Faults { halt: 0.2, ..Faults::default() },
+        Faults { twice: 0.15, halt: 0.1, ..Faults::default() },
+    ];
+    for faults in odd {
+        let server = format!("box-{}", rng.usize(..CACHES));
+        let at = Duration::from_millis(rng.u64(100..3500));
+        let after = at + Duration::from_millis(rng.u64(800..2000));
+        script.push((at, Step::Faults { server: server.clone(), faults }));
+        script.push((after, Step::Faults { server, faults: Faults::default() }));
+    }
+    let cut = Faults { cut: 0.2, ..Faults::default() };
+    let at = FAULTS.mul_f64(0.5) + Duration::from_millis(rng.u64(50..1500));
+    script.push((at, Step::Faults { server: "origin".into(), faults: cut }));
+    script
+}
+
 /// While all nodes end: servers that hang, swallow requests, and fail what they held.
 fn at_the_end() -> Script {
     let before = FAULTS - Duration::from_millis(150);
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -25,7 +25,7 @@
 use crate::{Fleet, Plan};
 
 use faults::{Act, acts, script};
-use pipelined::{Pipelined, pipelined};
+use pipelined::{Pace, Pipelined, pipelined};
 use process::Process;
 use run_delay::RunDelays;
 
@@ -41,6 +41,8 @@
 const KILL: Duration = Duration::from_millis(700);
 /// The longest that a node may be held up.
 const HELD_UP: Duration = Duration::from_millis(150);
+/// The longest that the machine's lateness is allowed for beside what was sampled.
+const LONGEST_HOLD_UP: Duration = HELD_UP;
 /// A change of the list counts as told so long after discovery had it, at the latest, and may be followed for the grace
 /// of the settings, in microseconds.
 const TOLD: Micros = 6_000_000 + 500_000;
@@ -193,7 +195,13 @@
         let pipelines: Vec<_> = (0..NODES)
             .step_by(PIPELINED_EVERY)
             .map(|node| {
-                runtime.spawn(pipelined(self.places[node].listen, self.seed * 1000 + node as u64, until))
+                let pace = if node % 2 == 0 { Pace::Steady } else { Pace::Bursts };
+                runtime.spawn(pipelined(
+                    self.places[node].listen,
+                    self.seed * 1000 + node as u64,
+                    pace,
+                    until,
+                ))
             })
             .collect();
         let processes = Arc::new(Mutex::new(self.processes()));
@@ -265,11 +273,24 @@
             })
             .collect();
         for seen in &self.pipelined {
-            let lost = seen.unanswered.iter().filter(|id| sent_on.contains(id.as_str()));
-            told.extend(lost.map(|id| format!("lost: {id} was read, sent on and never answered")));
+            let granted = LONGEST_HOLD_UP + Duration::from_micros(most_granted as u64);
+            for unanswered in &seen.unanswered {
+                let id = &unanswered.id;
+                if sent_on.contains(id.as_str()) {
+                    told.push(format!("lost: {id} was read, sent on and never answered"));
+                } else if unanswered.has_lain(granted) {
+                    told.push(format!("lost: {id} lay for long when its connection ended"));
+                }
+            }
             told.extend(seen.foreign.iter().map(|id| format!("{id} got another's answer")));
         }
         let pipelined: usize = self.pipelined.iter().map(|seen| seen.answered).sum();
+        let behind = |seen: &Pipelined| seen.unanswered.iter().filter(|one| one.behind_broken).count();
+        let behind_broken: usize = self.pipelined.iter().map(behind).sum();
+        let large: usize = self.pipelined.iter().map(|seen| seen.large).sum();
+        let repeated = records.iter().filter(|record| matches!(record.event, Event::Repeated(_))).count();
+        let halted = records.iter().filter(|record| matches!(record.event, Event::Halted(_))).count();
+        let cut = records.iter().filter(|record| matches!(record.event, Event::Cut(_))).count();
         let ended = |end: End| asks.iter().filter(|ask| ask.end == end).count();
         let asked = records.iter().filter(|record| matches!(record.event, Event::Asked(_))).count();
         let coverage = BTreeMap::from([
@@ -282,6 +303,12 @@
             ("sent again", asks.iter().filter(|ask| ask.resent.is_some()).count()),
             ("attempts", asked),
             ("pipelined", pipelined),
+            ("large writes in pipelines", large),
+            ("unread behind a broken value", behind_broken),
+            ("answers sent twice", repeated),
+            ("values that stopped", halted),
+            ("answers cut, of no length", cut),
+            ("broken off at a client", ended(End::Broken)),
             ("lateness granted, ms", most_granted / 1000),
         ]);
         Verdict { broken: told, coverage }
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::clients::{Ask, End, Kind, SLACK};
+use crate::clients::{Ask, BROKEN_END, End, Kind, SLACK};
 use crate::clock::Micros;
 use crate::record::{Event, Record, Told};
 
@@ -76,6 +76,7 @@
     broken.extend((doubled > 0).then_some(Broken::Doubled(doubled)));
     broken.extend((dropped > 0).then_some(Broken::Unseen(dropped)));
     read_and_lost(records, asks, &mut broken);
+    broken_off(records, asks, &mut broken);
     effects(records, asks, &mut broken);
     drains(records, grace, &mut broken);
     deadlines(records, asks, &mut broken);
@@ -94,6 +95,11 @@
     match ask.end {
         End::Unreached | End::Left => None, // not taken, or nobody is owed an answer
         End::Foreign | End::Lost | End::Unanswered => Some(Broken::Unanswered(ask.id.clone(), ask.end)),
+        // A server may have broken it off; then its end is due in time.
+        End::Broken => {
+            let by = ask.ended.saturating_sub(ask.sent + ask.wait);
+            ask.is_late(SLACK + BROKEN_END).then(|| Broken::Late(ask.id.clone(), by))
+        }
         End::Served | End::Refused | End::Failed => {
             let by = ask.ended.saturating_sub(ask.sent + ask.wait);
             ask.is_late(SLACK).then(|| Broken::Late(ask.id.clone(), by))
@@ -113,6 +119,17 @@
     broken.extend(lost.into_iter().map(|id| Broken::Unanswered(id.clone(), End::Lost)));
 }
 
+/// Rule 1: an answer that ends in the middle, though no server broke it off.
+fn broken_off(records: &[Record], asks: &[Ask], broken: &mut Vec<Broken>) {
+    let by_servers = records.iter().filter_map(|record| match &record.event {
+        Event::Halted(asked) => Some(asked.id.as_str()),
+        _ => None,
+    });
+    let by_servers: BTreeSet<&str> = by_servers.collect();
+    let ended = asks.iter().filter(|ask| ask.end == End::Broken && !by_servers.contains(ask.id.as_str()));
+    broken.extend(ended.map(|ask| Broken::Unanswered(ask.id.clone(), End::Broken)));
+}
+
 /// Rule 2.
 fn effects(records: &[Record], asks: &[Ask], broken: &mut Vec<Broken>) {
     let mut runs: HashMap<&str, usize> = HashMap::new();
--- a/crates/lilacquay/tests/soak.rs
+++ b/crates/lilacquay/tests/soak.rs
@@ -20,7 +20,9 @@
 
 #[test]
 fn the_invariants_hold_while_faults_overlap() {
-    let program = Path::new(env!("CARGO_BIN_EXE_lilacquay"));
+    // Another program, such as an earlier version, shows whether the soak sees what it was grown for.
+    let program = std::env::var("SOAK_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_lilacquay").into());
+    let program = Path::new(&program);
     let mut failed = Vec::new();
     for seed in seeds() {
         let folder = tempfile::tempdir().unwrap();
