Rename the hall to acceptor

The field's word for what accepts connections and tracks sessions; the session's field for what sessions share is called so. Nothing else changes.

--- a/crates/fronts/src/hall.rs
+++ b/crates/fronts/src/acceptor.rs
@@ -23,12 +23,12 @@
 
 /// What the connections of all fronts share. Cheap to clone.
 #[derive(Clone)]
-pub struct Hall(Arc<Shared>);
+pub struct Acceptor(Arc<Shared>);
 
-impl Hall {
-    /// A hall without guests, of a node with this bearing.
+impl Acceptor {
+    /// An acceptor without connections, of a node with this bearing.
     pub fn new(requests: Requests, bounds: Bounds, bearing: watch::Receiver<Bearing>) -> Self {
-        Hall(Arc::new(Shared::new(requests, bounds, bearing)))
+        Acceptor(Arc::new(Shared::new(requests, bounds, bearing)))
     }
 
     /// Takes connections for as long as the node takes any, each with a protocol of its own: from when it is ready
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -1,12 +1,12 @@
 //! What clients speak.
 //!
 //! A [`Protocol`] turns bytes into calls and answers into bytes, without I/O. All else is alike for every
-//! front: the [`Hall`] takes connections of any number of listeners and bounds them together, and a session
+//! front: the [`Acceptor`] takes connections of any number of listeners and bounds them together, and a session
 //! for each connection reads, opens requests at the core, writes the answers in order and knows when to part.
 
+mod acceptor;
 mod close_reason;
 pub mod door;
-mod hall;
 pub mod memcache;
 mod protocol;
 pub mod resp;
@@ -15,6 +15,6 @@
 mod shared;
 mod socket;
 
-pub use hall::Hall;
+pub use acceptor::Acceptor;
 pub use protocol::{Input, Malformed, Parting, Protocol, Refusal};
 pub use shared::Bounds;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -77,7 +77,7 @@
 }
 
 pub(crate) struct Session<P: Protocol> {
-    hall: Arc<Shared>,
+    shared: Arc<Shared>,
     protocol: P,
     buffer: BytesMut,
     /// The places of a buffer that is not small.
@@ -113,17 +113,17 @@
     fn drop(&mut self) {
         for owed in &self.owed {
             if let Owed::Waiting(waiting) = owed {
-                self.hall.requests.left_unanswered(&waiting.pending);
+                self.shared.requests.left_unanswered(&waiting.pending);
             }
         }
     }
 }
 
 impl<P: Protocol> Session<P> {
-    pub fn new(hall: Arc<Shared>, protocol: P) -> Self {
+    pub fn new(shared: Arc<Shared>, protocol: P) -> Self {
         let now = Instant::now();
         Session {
-            hall,
+            shared,
             protocol,
             buffer: BytesMut::new(),
             large: None,
@@ -152,14 +152,14 @@
             self.owed.clear(); // nobody waits for these
         }
         drop(stream);
-        self.hall.left.notify_waiters();
+        self.shared.left.notify_waiters();
     }
 
     /// Serves the connection to its end; tells why it ends. An error is the client's, or [`CloseReason`] has its kind.
     async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<CloseReason> {
         stream.set_nodelay(true)?;
         let (mut reader, mut writer) = stream.split();
-        let (mut bearing, large) = (self.hall.bearing.clone(), self.hall.large.clone());
+        let (mut bearing, large) = (self.shared.bearing.clone(), self.shared.large.clone());
         let (mut seat, mut just_answered) = (None, false);
         // Since when something lies unread, as far as it is known.
         let mut unread = None;
@@ -168,14 +168,14 @@
             let now = *bearing.borrow_and_update();
             let manner = now.manner;
             let parting = self.parting(now, unowed, just_answered);
-            let over = self.hall.requests.are_over();
+            let over = self.shared.requests.are_over();
             if let Some(reason) = self.done(unowed, over, parting) {
                 return writer.shutdown().await.map(|()| reason);
             }
             just_answered = false;
             let guest = unowed.then(|| self.guest());
             if guest != seat.as_ref().map(Seat::guest) {
-                seat = guest.map(|guest| self.hall.seats.take(guest, self.since));
+                seat = guest.map(|guest| self.shared.seats.take(guest, self.since));
             }
             // Guards against: a client that always has a command under way and so is never rid of a node that leaves
             // service and runs on. One that ends answers all that it has read, and reads nothing in its last 0.1 s.
@@ -293,7 +293,7 @@
         text.clear();
         let mut value = BytesMut::new();
         let places = u32::try_from(flow.length().div_ceil(LARGE)).unwrap_or(u32::MAX);
-        let held = self.hall.large.clone().try_acquire_many_owned(places);
+        let held = self.shared.large.clone().try_acquire_many_owned(places);
         // Guards against: a value that breaks in the middle and takes the answers behind it along.
         if held.is_err() || collect(&mut flow, &mut value).await == Collected::Broken {
             self.protocol.answer(reply, Answer::Failed, &mut text);
@@ -337,7 +337,7 @@
             false => self.protocol.expected(&self.buffer).min(P::LONGEST),
         };
         let places = self.expected.max(self.buffer.len()).div_ceil(LARGE);
-        u32::try_from(places).unwrap_or(u32::MAX).clamp(1, self.hall.places)
+        u32::try_from(places).unwrap_or(u32::MAX).clamp(1, self.shared.places)
     }
 
     /// How many places it holds.
@@ -430,7 +430,7 @@
 
     /// Whether another command may be begun.
     fn may_begin(&self) -> bool {
-        let room = || self.hall.requests.have_room();
+        let room = || self.shared.requests.have_room();
         self.broken.is_none() && !self.quits && self.owed.len() < OWED && (self.owed.is_empty() || room())
     }
 
@@ -465,7 +465,7 @@
                 }
                 Ok(Some(Input::Asks { yes, no })) => {
                     self.heard = true;
-                    Owed::Ready(if self.hall.bearing.borrow().says_yes { yes } else { no })
+                    Owed::Ready(if self.shared.bearing.borrow().says_yes { yes } else { no })
                 }
                 Ok(Some(Input::Quit(text))) => {
                     self.quits = true;
@@ -488,7 +488,7 @@
     fn request(&mut self, call: Call, reply: P::Reply, length: usize) -> Owed<P::Reply> {
         let class = call.class;
         let opened = match self.open < P::AT_ONCE {
-            true => self.hall.requests.open(call, self.came_at, length).map_err(|_| Refusal::InUse),
+            true => self.shared.requests.open(call, self.came_at, length).map_err(|_| Refusal::InUse),
             false => Err(Refusal::TooMany),
         };
         match opened {
@@ -498,7 +498,7 @@
                 Owed::Waiting(Waiting { pending, reply, _places: places })
             }
             Err(why) => {
-                self.hall.requests.not_begun(class);
+                self.shared.requests.not_begun(class);
                 let mut text = BytesMut::new();
                 self.protocol.refuse(reply, why, &mut text);
                 Owed::Ready(text)
--- a/crates/fronts/tests/front.rs
+++ b/crates/fronts/tests/front.rs
@@ -12,7 +12,7 @@
 };
 use lilacquay_figures::{Book, Rule, Violations};
 use lilacquay_fronts::resp::Resp;
-use lilacquay_fronts::{Bounds, Hall, Input, Malformed, Parting, Protocol, Refusal};
+use lilacquay_fronts::{Acceptor, Bounds, Input, Malformed, Parting, Protocol, Refusal};
 use lilacquay_life::{Bearing, Manner};
 use paddlefold::setup::{Setup, Stated};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
@@ -117,7 +117,7 @@
     resp: SocketAddr,
     asked: mpsc::UnboundedReceiver<Asked>,
     gauges: Arc<Gauges>,
-    hall: Hall,
+    acceptor: Acceptor,
     bearing: watch::Sender<Bearing>,
     violations: Violations,
 }
@@ -161,7 +161,7 @@
         let bounds =
             Bounds { connections, with_servers: 0, gauges: gauges.clone(), memory: 8 << 20, portion };
         let (bearing, told) = watch::channel(Bearing { accepts: true, says_yes: true, ..Bearing::default() });
-        let hall = Hall::new(requests, bounds, told);
+        let acceptor = Acceptor::new(requests, bounds, told);
         tokio::spawn(async move {
             driver.run().await;
             drop(members);
@@ -169,9 +169,9 @@
         let listen = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
         let (first, second) = (listen().await.unwrap(), listen().await.unwrap());
         let (lines, resp) = (first.local_addr().unwrap(), second.local_addr().unwrap());
-        tokio::spawn(hall.clone().accept(first, || Lines));
-        tokio::spawn(hall.clone().accept(second, move || Resp::new(names.clone())));
-        Stage { lines, resp, asked, gauges, hall, bearing, violations }
+        tokio::spawn(acceptor.clone().accept(first, || Lines));
+        tokio::spawn(acceptor.clone().accept(second, move || Resp::new(names.clone())));
+        Stage { lines, resp, asked, gauges, acceptor, bearing, violations }
     }
 
     async fn asked(&mut self) -> Asked {
@@ -350,7 +350,7 @@
     let mut silent = Client::new(stage.lines).await;
     assert_eq!((silent.hear().await, silent.hear().await), ("Silent".into(), String::new()));
     stage.bearing.send_modify(|now| (now.accepts, now.manner) = (false, Manner::Idle));
-    stage.hall.emptied().await;
+    stage.acceptor.emptied().await;
 }
 
 #[test]
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -10,7 +10,7 @@
 use lilacquay_core::{Driver, Handles, List, Members, Options, Orders, Portion};
 use lilacquay_etcd::Settings;
 use lilacquay_figures::Book;
-use lilacquay_fronts::Hall;
+use lilacquay_fronts::Acceptor;
 use lilacquay_fronts::resp::Resp;
 use lilacquay_life::Event;
 use lilacquay_members::{discovery, etcd};
@@ -131,7 +131,7 @@
     let servers = Servers::new(kinds.unwrap_or_default());
     let (driver, Handles { requests, members, orders }) = Driver::new(options, servers);
     let gauges = driver.gauges();
-    let hall = Hall::new(requests, config.client_bounds(gauges.clone(), portion), keeper.bearing());
+    let acceptor = Acceptor::new(requests, config.client_bounds(gauges.clone(), portion), keeper.bearing());
     let mut fronts = Vec::new();
     for listener in config.memcached.iter().flat_map(|(_, ready)| &ready.listeners) {
         fronts.push((bind(listener.address).await?, listener));
@@ -172,8 +172,8 @@
     }
     info!("listening on {}", listener.local_addr()?);
     if let Some(succession) = succession {
-        let (hall, gauges, most) = (hall.clone(), gauges.clone(), config.connections());
-        let holds = move || ((hall.guests() + gauges.connections()) * 1000 / most) as u32;
+        let (acceptor, gauges, most) = (acceptor.clone(), gauges.clone(), config.connections());
+        let holds = move || ((acceptor.guests() + gauges.connections()) * 1000 / most) as u32;
         let copy = kin.is_some().then(|| to_siblings.clone());
         parts.spawn(succession.keep(orders.clone(), copy, holds, keeper.bearing()));
     }
@@ -183,12 +183,12 @@
     let told = told.follow(followed, reload, source);
     tokio::pin!(told);
     let mut accepting = JoinSet::new();
-    accepting.spawn(hall.clone().accept(listener, move || Resp::new(names.clone())));
+    accepting.spawn(acceptor.clone().accept(listener, move || Resp::new(names.clone())));
     let nonce = nonce(config.seed);
     for (bound, listener) in fronts {
         info!("memcached {:?} is listening on {}", listener.name, bound.local_addr()?);
         let front = listener.front(gauges.clone(), nonce);
-        accepting.spawn(hall.clone().accept(bound, move || front.connection()));
+        accepting.spawn(acceptor.clone().accept(bound, move || front.connection()));
     }
     let _ = keeper.tell(Event::Ready); // refused only where it is told to stop already
     let mut bearing = keeper.bearing();
@@ -198,7 +198,7 @@
             to_core.end_at(at);
             told_end = true;
         }
-        // Whoever is accepted by then is in the hall before it can be seen to be empty.
+        // Whoever is accepted by then is counted before the acceptor can be seen to be empty.
         let taking = bearing.borrow_and_update().accepts;
         tokio::select! {
             _ = stop.recv() => keeper.stop(),
@@ -209,7 +209,7 @@
                 break Err(format!("a listener ended: {ended:?}"));
             },
             Ok(()) = bearing.changed() => {}
-            () = hall.emptied(), if !taking && accepting.is_empty() => {
+            () = acceptor.emptied(), if !taking && accepting.is_empty() => {
                 let _ = keeper.tell(Event::Empty); // never refused
             }
         }
@@ -217,12 +217,12 @@
     if let Err(what) = ended {
         let _ = keeper.tell(Event::Fail); // never refused
         accepting.shutdown().await;
-        let _ = timeout_at(Instant::now() + LAST_WRITES, hall.emptied()).await; // what is owed fails with the core
+        let _ = timeout_at(Instant::now() + LAST_WRITES, acceptor.emptied()).await; // what is owed fails with the core
         return Err(Failure::Core(what));
     }
     // A process that was held up may come here before the core has given its last answers.
     to_core.end_at(Instant::now());
-    let _ = timeout_at(Instant::now() + LAST_MOMENT, hall.emptied()).await; // killed soon after
+    let _ = timeout_at(Instant::now() + LAST_MOMENT, acceptor.emptied()).await; // killed soon after
     Ok(())
 }
 
