Give up a value that has stopped when the process ends, with answers behind it

Cause: a value before other answers is collected until it is whole or its attempt breaks, 0.4 s after its client's time, which may be later than the process's end.

Change: while it collects, the session looks every 20 ms whether the process is about to end, and fails the value then. The test failed before (the connection's end in place of two answers) and passes.

--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::{Answer, Call, Flow, Pending, hold_up};
+use lilacquay_core::{Answer, Call, Flow, Pending, Requests, hold_up};
 use lilacquay_life::{Bearing, Manner};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 use tracing::debug;
 
 use crate::close_reason::CloseReason;
@@ -39,6 +39,8 @@
 /// A large value before other answers is collected for so long; then what has come is passed on, since a client may not wait
 /// 2 s for the rest of what its server gives.
 const COLLECTING: Duration = Duration::from_secs(1);
+/// Meanwhile it is looked so often whether the process is about to end.
+const LOOK_FOR_END: Duration = Duration::from_millis(20);
 /// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
 const SLOWEST: usize = 256 << 10;
 /// ... with no pause longer than this.
@@ -295,7 +297,7 @@
         let places = u32::try_from(flow.length().div_ceil(LARGE)).unwrap_or(u32::MAX);
         let held = self.shared.large.clone().try_acquire_many_owned(places);
         // Guards against: a value that breaks in the middle and takes the answers behind it along.
-        if held.is_err() || collect(&mut flow, &mut value).await == Collected::Broken {
+        if held.is_err() || collect(&mut flow, &mut value, &self.shared.requests).await == Collected::Broken {
             self.protocol.answer(reply, Answer::Failed, &mut text);
             return write_all(writer, &text).await;
         }
@@ -517,11 +519,17 @@
 }
 
 /// Takes a value's bytes until it is whole or has been waited for long enough.
-async fn collect(flow: &mut Flow, value: &mut BytesMut) -> Collected {
+async fn collect(flow: &mut Flow, value: &mut BytesMut, requests: &Requests) -> Collected {
     let until = Instant::now() + COLLECTING;
     while value.len() < flow.length() {
         // One that has stopped breaks in its time: nothing of it is passed on then.
-        let Some(piece) = flow.next().await else { return Collected::Broken };
+        let piece = match timeout(LOOK_FOR_END, flow.next()).await {
+            Ok(Some(piece)) => piece,
+            Ok(None) => return Collected::Broken,
+            // What is owed behind it has no more time than the process.
+            Err(_) if requests.are_over() => return Collected::Broken,
+            Err(_) => continue,
+        };
         value.extend_from_slice(&piece.bytes);
         if Instant::now() >= until && value.len() < flow.length() {
             return Collected::InPart;
--- a/crates/lilacquay/tests/shutdown.rs
+++ b/crates/lilacquay/tests/shutdown.rs
@@ -167,6 +167,24 @@
     assert!(site.node.exit());
 }
 
+#[test]
+fn answers_behind_a_value_that_stopped_were_dropped_at_the_end_of_the_process() {
+    let mut site = Site::new();
+    let mut client = site.node.client();
+    client.send(&["CACHE.GET", "large", "first", "c=read,d=60000"]);
+    client.send(&["CACHE.GET", "k", "second", "c=read,d=60000"]);
+    let (one, other) = (site.cache.call(), site.cache.call());
+    let (mut stopping, second) = if one.key() == "large" { (one, other) } else { (other, one) };
+    second.value("v");
+    stopping.answer("*3\r\n$999999\r\nbegins");
+    site.node.terminate();
+    let told = Instant::now();
+    assert_eq!(client.answer().as_deref(), Some("-ERR failed"));
+    assert_eq!(client.answer().as_deref(), Some("v"), "read, forwarded and never answered");
+    assert!(site.node.exit());
+    assert!(told.elapsed() < LONGEST + KILL, "{:?}", told.elapsed());
+}
+
 #[test]
 fn answers_were_dropped_since_the_process_was_held_up_over_the_last_of_its_time() {
     let mut site = Site::new();
