Decide in modules without I/O when connections are used again and values given up

Change: reuse.rs decides which idle connection may be asked again, what a server has shown, and how long idle ones are kept; time_left.rs what is told on a late connection and when a value is given up. Times and states are handed in. The directory keeps the connections and asks; nothing behaves otherwise.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -16,24 +16,9 @@
 use crate::flow::Opening;
 use crate::list::{Entry, List, State};
 use crate::permit::{ClientLeft, InvariantChecker};
+use crate::reuse::{KeepPolicy, ReusePolicy};
 use crate::upstream::{Connection, IdleState, Standing, Target};
 
-/// A connection rests for so long before it is used again, so that an answer which a server sends twice is seen on it: such
-/// answers come some milliseconds late, and no answer says which request it belongs to.
-const REST: Duration = Duration::from_millis(15);
-/// An origin that seldom answers within the rest may be asked again after a shorter one: it takes few connections and turns
-/// others away. An answer that comes within the longer rest is not believed then.
-const SHORT_REST: Duration = Duration::from_millis(1);
-/// Seldom is less than this part of its answers ...
-const SELDOM: f64 = 0.25;
-/// ... which counts the latest by this weight, and is so much before any has come.
-const LATEST: f64 = 1.0 / 8.0;
-const UNKNOWN: f64 = 1.0;
-/// It rests for so long at a server that has lately sent something unasked ...
-const LONG_REST: Duration = Duration::from_millis(100);
-/// ... which counts as lately for so long.
-const DISTRUST: Duration = Duration::from_secs(60);
-
 struct Server<C> {
     /// As the list has it.
     entry: Entry,
@@ -43,10 +28,8 @@
     standing: Standing,
     /// When something was last sent there.
     sent: Option<Instant>,
-    /// When it last sent something unasked.
-    unasked: Option<Instant>,
-    /// The part of its answers, lately, that came within the rest.
-    quick: f64,
+    /// When its connections may be used again.
+    reuse: ReusePolicy,
     /// Connections between requests, the most recently used last.
     idle: Vec<(Instant, C)>,
 }
@@ -76,29 +59,20 @@
     servers: HashMap<ServerId, Server<C>>,
     /// Counts attempts.
     tries: Tries,
-    /// An idle connection is closed at this age: before the server does it ...
-    idle_limit: Duration,
-    /// ... and at this one, where a younger one is idle at the same server.
-    spare_limit: Duration,
+    /// How long idle connections are kept.
+    keep: KeepPolicy,
 }
 
 impl<C: Connection> Directory<C> {
-    /// For one of so many nodes.
-    ///
-    /// Guards against: a server's table of connections that is full of what hundreds of nodes keep beyond the one
-    /// that they need, so that those who have none are turned away. All nodes together keep no more to spare than a
-    /// small fleet does.
+    /// For one of so many nodes, whose servers close idle connections at this age.
     pub fn new(keepalive: Duration, nodes: usize, tries: Tries) -> Self {
-        let idle_limit = keepalive * 9 / 10;
         let (news, servers) = Default::default();
-        let mut directory = Directory { news, servers, tries, idle_limit, spare_limit: idle_limit };
-        directory.set_nodes(nodes);
-        directory
+        Directory { news, servers, tries, keep: KeepPolicy::new(keepalive, nodes) }
     }
 
     /// It is one of so many nodes from now on.
     pub fn set_nodes(&mut self, nodes: usize) {
-        self.spare_limit = self.idle_limit / u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+        self.keep = self.keep.at_nodes(nodes);
     }
 
     /// Takes over a list; tells the module's view of its entries. Servers of which kinds of machine discard the
@@ -159,8 +133,7 @@
             kind: entry.kind.as_str().into(),
             standing: Standing::new(),
             sent: None,
-            unasked: None,
-            quick: UNKNOWN,
+            reuse: ReusePolicy::default(),
             idle: Vec::new(),
         });
         server.origin = origin;
@@ -211,15 +184,15 @@
         opening: Opening,
         facts: Facts,
     ) -> Option<(Target, Option<C>)> {
-        let limit = self.idle_limit;
+        let keep = self.keep;
         let server = self.servers.get_mut(&id)?;
         server.sent = Some(now);
         let (mut pooled, mut believed_from) = (None, now);
         while let Some(place) = server.rested(now) {
             let (since, connection) = server.idle.remove(place);
-            if now < since + limit && server.may_use(&connection, now) {
+            if keep.keeps(now, since, false) && server.may_use(&connection, now) {
                 pooled = Some(connection);
-                believed_from = since + REST;
+                believed_from = ReusePolicy::believed_from(since);
                 break;
             }
         }
@@ -242,30 +215,29 @@
     /// Notes how long an answer of a server took.
     pub fn answered(&mut self, id: ServerId, took: Duration) {
         if let Some(server) = self.servers.get_mut(&id) {
-            let quick = if took <= REST { 1.0 } else { 0.0 };
-            server.quick += LATEST * (quick - server.quick);
+            server.reuse.answered(took);
         }
     }
 
     /// Keeps a connection for the next request, if its server still takes some at that address.
     pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
-        let spare = self.spare_limit;
+        let keep = self.keep;
         if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
-            server.idle.retain(|(since, _)| now < *since + spare);
+            server.idle.retain(|(since, _)| keep.keeps(now, *since, true));
             server.idle.push((now, connection));
         }
     }
 
     /// Closes idle connections that are too old, or that the server has closed.
     pub fn sweep(&mut self, now: Instant) {
-        let (limit, spare) = (self.idle_limit, self.spare_limit);
+        let keep = self.keep;
         for server in self.servers.values_mut() {
             let mut idle = std::mem::take(&mut server.idle);
             let last = idle.len().saturating_sub(1);
             let mut place = 0..;
             idle.retain(|(since, connection)| {
-                let limit = if place.next() < Some(last) { spare } else { limit };
-                now < *since + limit && server.may_use(connection, now)
+                let spare = place.next() < Some(last);
+                keep.keeps(now, *since, spare) && server.may_use(connection, now)
             });
             server.idle = idle;
         }
@@ -309,20 +281,9 @@
 }
 
 impl<C: Connection> Server<C> {
-    /// How long its connections rest.
-    fn rest(&self, now: Instant) -> Duration {
-        let distrusted = self.unasked.is_some_and(|at| now < at + DISTRUST);
-        match distrusted {
-            true => LONG_REST,
-            false if self.origin && self.quick < SELDOM => SHORT_REST,
-            false => REST,
-        }
-    }
-
-    /// The place of the connection used last that has rested.
+    /// The place of the connection to use next, if one has rested.
     fn rested(&self, now: Instant) -> Option<usize> {
-        let rest = self.rest(now);
-        self.idle.iter().rposition(|(since, _)| now >= *since + rest)
+        self.reuse.choose(now, self.origin, self.idle.iter().map(|(since, _)| *since))
     }
 
     /// Whether a connection that was idle can be used; notes what the server has sent unasked.
@@ -330,9 +291,8 @@
         let state = connection.idle_state();
         if state == IdleState::Unasked {
             debug!(server = self.entry.id, "something came unasked: its connections rest longer");
-            self.unasked = Some(now);
         }
-        state == IdleState::Live
+        self.reuse.may_use(now, state)
     }
 
     /// Gone: attempts under way send nothing more. Returns false, to drop it.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,8 +26,10 @@
 mod permit;
 mod portion;
 mod requests;
+pub mod reuse;
 mod shortage;
 mod steering;
+pub mod time_left;
 mod upstream;
 mod watched;
 
--- a/crates/upstreams/src/pass.rs
+++ b/crates/upstreams/src/pass.rs
@@ -1,20 +1,13 @@
 //! Large values: bytes from a server's connection to the client's, as they come.
 
 use std::io;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use lilacquay_core::time_left::value_given_up_at;
 use lilacquay_core::{Feeder, Outcome, Room, Unwanted};
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::time::{Instant, timeout_at};
 
-/// A server that gives no byte of a value for so long has stalled, whatever time its client has left.
-const STALL: Duration = Duration::from_secs(5);
-/// A value that has stopped is given up so long after its client's time, which is owed its end within half a second.
-const LAST_ANSWER: Duration = Duration::from_millis(400);
-/// A value that goes on past its client's time is given up once it stops for so long.
-const LATE_STALL: Duration = Duration::from_secs(1);
-
 /// Why a value has not come to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Broken {
@@ -78,20 +71,12 @@
     Ok(feeder.feed(piece, room)?)
 }
 
-/// When a server that has just been read from is given up, unless it gives more.
-fn stalled_at(now: Instant, deadline: Instant) -> Instant {
-    match now < deadline {
-        true => (now + STALL).min(deadline + LAST_ANSWER),
-        false => now + LATE_STALL,
-    }
-}
-
 /// Waits for bytes of a value whose client's time is up at the deadline.
 pub(crate) async fn read<T>(
     deadline: Instant,
     read: impl Future<Output = io::Result<T>>,
 ) -> Result<T, Broken> {
-    match timeout_at(stalled_at(Instant::now(), deadline), read).await {
+    match timeout_at(value_given_up_at(Instant::now(), deadline), read).await {
         Ok(Ok(read)) => Ok(read),
         Ok(Err(_)) | Err(_) => Err(Broken::Server),
     }
