Read on while a large value is collected before other answers

Cause: the value was collected in the middle of writing answers, where the session neither reads nor begins anything.

The test failed before (no call for the third command) and passes, with the suites of shutdown, answers, large values, memcached and fronts.

--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod memcache;
 mod protocol;
 pub mod resp;
+mod responses;
 mod seats;
 mod session;
 mod shared;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -1,23 +1,23 @@
 //! One client's connection: reads commands, opens requests, writes the answers in the order of the commands.
 
-use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::{Answer, Call, Flow, Pending, Requests, hold_up};
+use lilacquay_core::{Answer, Call, Flow, hold_up};
 use lilacquay_life::{Bearing, Manner};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
 use crate::close_reason::CloseReason;
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
+use crate::responses::{Collecting, Due, LargeValue, Response, Responses, Waiting};
 use crate::seats::{Guest, Seat};
 use crate::shared::{LARGE, Shared};
 use crate::socket::{Received, read_or_wait_for_close, wait_for_close, write_all};
@@ -36,11 +36,6 @@
 /// Where a node leaves service and runs on, a connection on which there is always something more to read is closed all the
 /// same so long after idle ones. A node that ends reads until its end.
 const LAST_COMMANDS: Duration = Duration::from_millis(1800);
-/// A large value before other answers is collected for so long; then what has come is passed on, since a client may not wait
-/// 2 s for the rest of what its server gives.
-const COLLECTING: Duration = Duration::from_secs(1);
-/// Meanwhile it is looked so often whether the process is about to end.
-const LOOK_FOR_END: Duration = Duration::from_millis(20);
 /// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
 const SLOWEST: usize = 256 << 10;
 /// ... with no pause longer than this.
@@ -59,23 +54,12 @@
     Known,
 }
 
-/// An answer that is owed, in the order of the commands.
-enum Owed<R> {
-    Ready(BytesMut),
-    Waiting(Waiting<R>),
-}
-
-struct Waiting<R> {
-    pending: Pending,
-    reply: R,
-    /// Of a long command, which are free again when it is answered.
-    _places: Option<OwnedSemaphorePermit>,
-}
-
-/// An answer whose value has begun to come.
-struct LargeAnswer<R> {
-    reply: R,
-    flow: Flow,
+/// What becomes of a large value that has begun to come.
+enum Begun<R> {
+    PassedOn(LargeValue<R>),
+    Collected,
+    /// There is no room for it.
+    Failed,
 }
 
 pub(crate) struct Session<P: Protocol> {
@@ -89,7 +73,7 @@
     read_at: Instant,
     /// When what was read last had come.
     came_at: Instant,
-    owed: VecDeque<Owed<P::Reply>>,
+    owed: Responses<P::Reply>,
     /// How many of those owed are requests.
     open: usize,
     /// Whether it has ever sent a command that is good.
@@ -113,11 +97,7 @@
 impl<P: Protocol> Drop for Session<P> {
     /// One that has not run to its end takes with it what its client is owed.
     fn drop(&mut self) {
-        for owed in &self.owed {
-            if let Owed::Waiting(waiting) = owed {
-                self.shared.requests.left_unanswered(&waiting.pending);
-            }
-        }
+        self.owed.requests().for_each(|pending| self.shared.requests.left_unanswered(pending));
     }
 }
 
@@ -132,7 +112,7 @@
             expected: 0,
             read_at: now,
             came_at: now,
-            owed: VecDeque::new(),
+            owed: Responses::new(),
             open: 0,
             heard: false,
             asked: false,
@@ -203,8 +183,8 @@
                         }
                     }
                 }
-                (owed, answer) = next(&mut self.owed), if !unowed => {
-                    let (text, large) = self.answers(owed, answer);
+                due = self.owed.next(&self.shared.requests), if !unowed => {
+                    let (text, large) = self.answers(due);
                     // Guards against: attempts that begin for a client which has left while its answers are written.
                     tokio::select! {
                         biased;
@@ -248,13 +228,10 @@
         if self.broken.is_none() {
             self.protocol.part(Parting::Silent, &mut text);
         }
-        for owed in std::mem::take(&mut self.owed) {
-            match owed {
-                Owed::Ready(ready) => text.extend_from_slice(&ready),
-                Owed::Waiting(mut waiting) => {
-                    let answer = waiting.pending.try_answer().unwrap_or(Answer::Failed);
-                    self.protocol.answer(waiting.reply, answer, &mut text);
-                }
+        for owed in self.owed.take() {
+            match owed.into_answer() {
+                Err(ready) => text.extend_from_slice(&ready),
+                Ok((reply, answer)) => self.protocol.answer(reply, answer, &mut text),
             }
         }
         text
@@ -278,33 +255,18 @@
         }
     }
 
-    /// Writes answers, and the large value behind them: as it comes, or once it is whole where commands wait behind it.
+    /// Writes answers, and the large value behind them as it comes.
     async fn write_answers(
         &mut self,
         writer: &mut WriteHalf<'_>,
         mut text: BytesMut,
-        large: Option<LargeAnswer<P::Reply>>,
+        large: Option<LargeValue<P::Reply>>,
     ) -> io::Result<()> {
-        let Some(LargeAnswer { reply, mut flow }) = large else { return write_all(writer, &text).await };
-        if self.owed.is_empty() && self.buffer.is_empty() {
-            self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
-            write_all(writer, &text).await?;
-            return self.pass_on(writer, flow, 0).await;
-        }
-        write_all(writer, &text).await?;
-        text.clear();
-        let mut value = BytesMut::new();
-        let places = u32::try_from(flow.length().div_ceil(LARGE)).unwrap_or(u32::MAX);
-        let held = self.shared.large.clone().try_acquire_many_owned(places);
-        // Guards against: a value that breaks in the middle and takes the answers behind it along.
-        if held.is_err() || collect(&mut flow, &mut value, &self.shared.requests).await == Collected::Broken {
-            self.protocol.answer(reply, Answer::Failed, &mut text);
-            return write_all(writer, &text).await;
-        }
+        let Some(LargeValue { reply, flow, come }) = large else { return write_all(writer, &text).await };
         self.protocol.begin(reply, flow.length(), flow.flags(), &mut text);
         write_all(writer, &text).await?;
-        write_all(writer, &value).await?;
-        self.pass_on(writer, flow, value.len()).await
+        write_all(writer, &come).await?;
+        self.pass_on(writer, flow, come.len()).await
     }
 
     /// Whether the connection is to be closed, the way the node goes.
@@ -398,38 +360,53 @@
     }
 
     /// The text of an answer, and of those behind it that are at hand, up to the first large value.
-    fn answers(
-        &mut self,
-        first: Owed<P::Reply>,
-        answer: Option<Answer>,
-    ) -> (BytesMut, Option<LargeAnswer<P::Reply>>) {
-        let (mut text, mut owed, mut answer) = (BytesMut::new(), first, answer);
+    fn answers(&mut self, first: Due<P::Reply>) -> (BytesMut, Option<LargeValue<P::Reply>>) {
+        let (mut text, mut due) = (BytesMut::new(), first);
         loop {
-            match (owed, answer) {
-                (Owed::Ready(ready), _) if text.is_empty() => text = ready,
-                (Owed::Ready(ready), _) => text.extend_from_slice(&ready),
-                (Owed::Waiting(waited), Some(Answer::Begun(flow))) => {
-                    self.open -= 1;
-                    return (text, Some(LargeAnswer { reply: waited.reply, flow }));
-                }
-                (Owed::Waiting(waited), answer) => {
+            match due {
+                Due::Ready(ready) if text.is_empty() => text = ready,
+                Due::Ready(ready) => text.extend_from_slice(&ready),
+                Due::Answer(waiting, Answer::Begun(flow)) => match self.begun(waiting, flow, &mut text) {
+                    Begun::PassedOn(large) => return (text, Some(large)),
+                    Begun::Collected => return (text, None),
+                    Begun::Failed => {}
+                },
+                Due::Answer(waiting, answer) => self.answer(waiting.reply, answer, &mut text),
+                Due::Broken(reply) => self.answer(reply, Answer::Failed, &mut text),
+                Due::Value(large) => {
                     self.open -= 1;
-                    self.protocol.answer(waited.reply, answer.unwrap_or(Answer::Failed), &mut text);
+                    return (text, Some(large));
                 }
             }
-            answer = match self.owed.front_mut() {
-                Some(_) if text.len() >= WRITTEN => return (text, None),
-                Some(Owed::Ready(_)) => None,
-                Some(Owed::Waiting(waiting)) => match waiting.pending.try_answer() {
-                    Some(answer) => Some(answer),
-                    None => return (text, None), // not yet
-                },
+            let next = (text.len() < WRITTEN).then(|| self.owed.try_next()).flatten();
+            match next {
+                Some(next) => due = next,
                 None => return (text, None),
-            };
-            owed = self.owed.pop_front().expect("looked at above");
+            }
         }
     }
 
+    fn answer(&mut self, reply: P::Reply, answer: Answer, text: &mut BytesMut) {
+        self.open -= 1;
+        self.protocol.answer(reply, answer, text);
+    }
+
+    /// A large value has begun to come: it is passed on, or collected where commands wait behind it.
+    fn begun(&mut self, waiting: Waiting<P::Reply>, flow: Flow, text: &mut BytesMut) -> Begun<P::Reply> {
+        let Waiting { pending, reply, .. } = waiting;
+        if self.owed.is_empty() && self.buffer.is_empty() {
+            self.open -= 1;
+            return Begun::PassedOn(LargeValue { reply, flow, come: BytesMut::new() });
+        }
+        let places = u32::try_from(flow.length().div_ceil(LARGE)).unwrap_or(u32::MAX);
+        let Ok(places) = self.shared.large.clone().try_acquire_many_owned(places) else {
+            self.answer(reply, Answer::Failed, text);
+            return Begun::Failed;
+        };
+        self.owed.push_first(Response::Collecting(Collecting::new(pending, reply, flow, places)));
+        Begun::Collected
+    }
+
     /// Whether another command may be begun.
     fn may_begin(&self) -> bool {
         let room = || self.shared.requests.have_room();
@@ -463,31 +440,31 @@
                 Ok(Some(Input::Call(call, reply))) => self.request(*call, reply, before - self.buffer.len()),
                 Ok(Some(Input::Said { text, good })) => {
                     self.heard |= good;
-                    Owed::Ready(text)
+                    Response::Ready(text)
                 }
                 Ok(Some(Input::Asks { yes, no })) => {
                     self.heard = true;
-                    Owed::Ready(if self.shared.bearing.borrow().says_yes { yes } else { no })
+                    Response::Ready(if self.shared.bearing.borrow().says_yes { yes } else { no })
                 }
                 Ok(Some(Input::Quit(text))) => {
                     self.quits = true;
                     self.buffer.clear();
-                    Owed::Ready(text)
+                    Response::Ready(text)
                 }
                 Err(Malformed) => {
                     self.broken = Some(Instant::now());
                     self.buffer.clear();
                     let mut text = BytesMut::new();
                     self.protocol.part(Parting::Malformed, &mut text);
-                    Owed::Ready(text)
+                    Response::Ready(text)
                 }
             };
-            self.owed.push_back(owed);
+            self.owed.push(owed);
         }
         true
     }
 
-    fn request(&mut self, call: Call, reply: P::Reply, length: usize) -> Owed<P::Reply> {
+    fn request(&mut self, call: Call, reply: P::Reply, length: usize) -> Response<P::Reply> {
         let class = call.class;
         let opened = match self.open < P::AT_ONCE {
             true => self.shared.requests.open(call, self.came_at, length).map_err(|_| Refusal::InUse),
@@ -497,54 +474,14 @@
             Ok(pending) => {
                 (self.open, self.asked, self.heard) = (self.open + 1, true, true);
                 let places = if length > LARGE { self.large.take() } else { None };
-                Owed::Waiting(Waiting { pending, reply, _places: places })
+                Response::Waiting(Waiting { pending, reply, _places: places })
             }
             Err(why) => {
                 self.shared.requests.not_begun(class);
                 let mut text = BytesMut::new();
                 self.protocol.refuse(reply, why, &mut text);
-                Owed::Ready(text)
+                Response::Ready(text)
             }
         }
     }
 }
-
-/// What came of waiting for the whole of a value.
-#[derive(PartialEq, Eq)]
-enum Collected {
-    Whole,
-    /// Not all of it by its time; the rest may still come.
-    InPart,
-    Broken,
-}
-
-/// Takes a value's bytes until it is whole or has been waited for long enough.
-async fn collect(flow: &mut Flow, value: &mut BytesMut, requests: &Requests) -> Collected {
-    let until = Instant::now() + COLLECTING;
-    while value.len() < flow.length() {
-        // One that has stopped breaks in its time: nothing of it is passed on then.
-        let piece = match timeout(LOOK_FOR_END, flow.next()).await {
-            Ok(Some(piece)) => piece,
-            Ok(None) => return Collected::Broken,
-            // What is owed behind it has no more time than the process.
-            Err(_) if requests.are_over() => return Collected::Broken,
-            Err(_) => continue,
-        };
-        value.extend_from_slice(&piece.bytes);
-        if Instant::now() >= until && value.len() < flow.length() {
-            return Collected::InPart;
-        }
-    }
-    Collected::Whole
-}
-
-/// The next one owed, once it can be answered, with its answer if it waited for one. Cancelled between, it
-/// loses nothing.
-async fn next<R>(owed: &mut VecDeque<Owed<R>>) -> (Owed<R>, Option<Answer>) {
-    let answer = match owed.front_mut() {
-        Some(Owed::Waiting(waiting)) => Some((&mut waiting.pending).await),
-        Some(Owed::Ready(_)) => None,
-        None => std::future::pending().await,
-    };
-    (owed.pop_front().expect("looked at above"), answer)
-}
--- a/crates/lilacquay/tests/shutdown.rs
+++ b/crates/lilacquay/tests/shutdown.rs
@@ -185,6 +185,26 @@
     assert!(told.elapsed() < LONGEST + KILL, "{:?}", told.elapsed());
 }
 
+#[test]
+fn commands_that_came_while_a_value_was_collected_lay_unread_to_the_end_of_the_process() {
+    let mut site = Site::new();
+    let mut client = site.node.client();
+    client.send(&["CACHE.GET", "large", "first", "c=read,d=60000"]);
+    client.send(&["CACHE.GET", "k", "second", "c=read,d=60000"]);
+    let (one, other) = (site.cache.call(), site.cache.call());
+    let (mut stopping, second) = if one.key() == "large" { (one, other) } else { (other, one) };
+    second.value("v");
+    stopping.answer("*3\r\n$999999\r\nbegins");
+    sleep(Duration::from_millis(100)); // it is being collected
+    site.node.terminate();
+    sleep(Duration::from_millis(100));
+    client.send(&["CACHE.GET", "k", "third", "c=read,d=1900"]);
+    site.cache.call().value("w");
+    let answers: Vec<_> = (0..3).map(|_| client.answer()).collect();
+    assert_eq!(answers, [Some("-ERR failed".into()), Some("v".into()), Some("w".into())]);
+    assert!(site.node.exit());
+}
+
 #[test]
 fn answers_were_dropped_since_the_process_was_held_up_over_the_last_of_its_time() {
     let mut site = Site::new();
