Show in a test what sixteen times the caches take of connections

Cause: each key has its own three caches of the list, whatever the list's size, so that 800 reads of 3,000 keys meet some 700 of 3,200 caches. Preferring a candidate that is connected can't mend it: at most one read in four has one, and it would be asked for keys that it lacks.

--- a/crates/bench/src/bin/decision.rs
+++ b/crates/bench/src/bin/decision.rs
@@ -15,7 +15,7 @@
 
 fn main() {
     let mut first = None;
-    for boxes in [12, 100, 1000] {
+    for boxes in [12, 200, 1000, 3200] {
         let took = measure(boxes);
         let median = took.value_at_quantile(0.5) as f64;
         let ratio = median / *first.get_or_insert(median);
--- a/crates/paddlefold/tests/scale.rs
+++ b/crates/paddlefold/tests/scale.rs
@@ -174,3 +174,31 @@
     let asked = asked.into_iter().filter(|&to| to % 2 == 1 && !dead(to)).count();
     assert!(asked > 30, "the others of the zone were asked {asked} times");
 }
+
+/// Connections that a node of so many caches makes for 800 reads in 20 s, of 3,000 keys: one that rests is used again until
+/// its server would close it.
+fn connections_made(caches: u32, seed: u64) -> usize {
+    const READS: u32 = 800;
+    const TOOK: Micros = 10_000;
+    let settings = Settings { keepalive: 15 * SECOND, ..settings(Mode::Aside) };
+    let mut node = Node::new(settings, caches);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut made, mut used) = (0, std::collections::HashMap::new());
+    for id in 0..READS {
+        node.now += rng.u64(0..2 * 20 * SECOND / u64::from(READS));
+        let to = sent(&node.read(id, &format!("k{}", rng.u32(..3_000)))).expect("a read is sent");
+        let last = used.insert(to, node.now + TOOK);
+        made += usize::from(last.is_none_or(|last| node.now >= last + 15 * SECOND * 9 / 10));
+        node.now += TOOK;
+        node.end(id, 0, Outcome::Ok, TOOK);
+    }
+    made
+}
+
+#[test]
+fn sixteen_times_the_caches_took_more_than_two_and_a_half_times_the_connections() {
+    for seed in 0..5 {
+        let (usual, many) = (connections_made(200, seed), connections_made(3_200, seed));
+        assert!(many * 2 <= usual * 5 + 80, "{many} connections, {usual} with 200 caches");
+    }
+}
