Rank caches from a table of the list, and look at the highest few alone

Cause, of a part of it: each read hashed, took the logarithm of and sorted all caches of the list, walking a tree of servers.

Change: ranking.rs keeps a table of the caches in service, made anew with each change of the list, and finds the 16 that rank highest with a logarithm for few; more are looked at only where most of these can't be used.

--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -12,6 +12,7 @@
 
 use crate::api::*;
 use crate::holders::*;
+use crate::ranking::{Part, Ranking, Terms};
 use crate::state::*;
 
 #[path = "cost.rs"]
@@ -24,8 +25,9 @@
 pub mod view;
 use cost::Pick;
 
-/// Caches in a key's candidate set.
+/// Caches in a key's candidate set, and how many of the highest ranks are looked at for them first.
 const SET: usize = 3;
+const LOOKED_AT: usize = 16;
 /// A cache this many times slower than its fellows has no idle room.
 const SLOW: f64 = 3.0;
 /// Work of copies and of further tries that a request earns, in parts of its own, and most that is saved up,
@@ -57,7 +59,7 @@
     now: Micros,
     servers: BTreeMap<ServerId, Server>,
     origin: Option<ServerId>,
-    caches: usize, // how many caches are up
+    ranking: Ranking, // the caches that are up
     open: HashMap<RequestId, Open>,
     timings: Vec<Timing>, // response times by class; the last is for requests of no known class
     arrived: Rate,
@@ -86,7 +88,7 @@
             now,
             servers: BTreeMap::new(),
             origin: None,
-            caches: 0,
+            ranking: Ranking::default(),
             open: HashMap::new(),
             timings: aims.chain([usual]).map(|aim| Timing::guess(aim / 3.0)).collect(),
             arrived: Rate::new(now),
@@ -170,7 +172,7 @@
         let origin = |s: &&Server| s.member.state == MemberState::Up && s.member.origin;
         self.origin = self.servers.values().find(origin).map(|s| s.member.id);
         let caches = || self.servers.values().filter(|s| s.is_cache());
-        self.caches = caches().count();
+        self.ranking = Ranking::new(caches(), &self.settings, self.now);
         self.unsized_list = caches().zip(caches().skip(1)).all(|(a, b)| a.member.weight == b.member.weight);
     }
 
@@ -263,30 +265,38 @@
     /// The key's set: the caches that rank highest when it is hashed with each server's id.
     /// Unusable caches slide it to the next rank.
     fn candidates(&self, key: u64) -> Vec<&Server> {
-        let near = self.nearness();
-        let mut ranked: Vec<(f64, &Server)> = Vec::with_capacity(self.servers.len());
-        for s in self.servers.values().filter(|s| s.is_cache()) {
-            let hash = xxh3_64_with_seed(&key.to_le_bytes(), s.member.id.0.into());
-            // Weighted rendezvous hashing: each cache wins keys in proportion to its weight.
-            let uniform = (hash >> 11) as f64 / (1u64 << 53) as f64 + f64::MIN_POSITIVE;
-            // Guards against: a slow kind that jams while a quick one idles, where no sizes are listed.
-            let slowness =
-                self.kinds.get(&s.member.kind).filter(|_| self.unsized_list).map_or(1.0, |k| k.slowness);
-            // Slow start: a cold cache wins keys by its warmth, which all nodes reckon alike from its start.
-            let near = if self.settings.zone == Some(s.member.zone) { near } else { 1.0 };
-            let weight = s.member.weight * s.warmth(&self.settings, self.now) * near;
-            ranked.push((-uniform.ln() * slowness / weight.max(f64::MIN_POSITIVE), s));
-        }
-        ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.member.id.cmp(&b.1.member.id)));
-        let well = |s: &&Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
-        let usable = |s: &&Server| well(s) && self.allowance(s) >= 1.0 && !self.cut_off(s);
-        let ranked = || ranked.iter().map(|&(_, s)| s);
-        let mut set: Vec<&Server> = ranked().filter(usable).take(SET).collect();
+        let well = |s: &Server| !self.suspect(s) || self.now >= s.retry_at && s.out.is_empty();
+        let usable = |s: &Server| well(s) && self.allowance(s) >= 1.0 && !self.cut_off(s);
+        let mut set = self.highest(key, SET, Part::All, usable);
         // Guards against: a zone with more traffic than its own caches can carry.
-        if near > 1.0 && !set.iter().any(|s| self.far(s)) {
-            set.extend(ranked().find(|s| self.far(s) && usable(s)));
+        if self.nearness() > 1.0 && !set.iter().any(|s| self.far(s)) {
+            set.extend(self.highest(key, 1, Part::Far, |s| self.far(s) && usable(s)));
+        }
+        if set.is_empty() { self.highest(key, SET, Part::All, |_| true) } else { set }
+    }
+
+    /// So many of the caches that rank highest for a key and are accepted.
+    fn highest(&self, key: u64, most: usize, part: Part, accept: impl Fn(&Server) -> bool) -> Vec<&Server> {
+        let terms = Terms {
+            settings: &self.settings,
+            servers: &self.servers,
+            kinds: self.unsized_list.then_some(&self.kinds),
+            nearness: self.nearness(),
+            now: self.now,
+        };
+        let found = |looked_at: usize| -> Vec<&Server> {
+            let ranked = self.ranking.highest(key, looked_at, part, &terms);
+            let servers = ranked.into_iter().filter_map(|id| self.servers.get(&id));
+            servers.filter(|s| accept(s)).take(most).collect()
+        };
+        let mut looked_at = LOOKED_AT;
+        loop {
+            let servers = found(looked_at);
+            if servers.len() == most || looked_at >= self.ranking.len() {
+                return servers;
+            }
+            looked_at *= LOOKED_AT; // most of those that rank highest can't be used
         }
-        if set.is_empty() { ranked().take(SET).collect() } else { set }
     }
 
     /// A copy of a late read, where another candidate has idle room and neither fleet nor origin strains.
@@ -435,7 +445,7 @@
     /// The same of a share that was saved up to some amount at some time.
     fn share_of(&self, s: &Server, (saved, at): (f64, Micros)) -> f64 {
         let part = if self.now < self.part.1 { self.part.0 } else { 0.0 };
-        let share = part * self.arrived.per_second(self.now, self.tau()) / self.caches.max(1) as f64;
+        let share = part * self.arrived.per_second(self.now, self.tau()) / self.ranking.len().max(1) as f64;
         let rate = share * s.warmth(&self.settings, self.now) * self.settings.overload_factor * COLD_PART;
         let burst = (rate * self.settings.fall as f64 / 4e6).max(part.ceil()); // without a part none
         if self.cold(s) { (saved + rate * (self.now - at) as f64 / 1e6).min(burst) } else { f64::INFINITY }
--- a/crates/paddlefold/src/cost.rs
+++ b/crates/paddlefold/src/cost.rs
@@ -51,7 +51,7 @@
     /// Our requests in flight at a cache, in the time that they take there.
     fn load(&self, s: &Server) -> f64 {
         // A cache not yet heard from counts at the others' mean, never idle.
-        let mean = self.gates[CACHES].out as f64 / self.caches.max(1) as f64;
+        let mean = self.gates[CACHES].out as f64 / self.ranking.len().max(1) as f64;
         let held = (s.out.len() as f64).max(if s.heard.is_none() { mean } else { 0.0 });
         (held + 1.0) * s.slowness(self.now)
     }
--- a/crates/paddlefold/src/health.rs
+++ b/crates/paddlefold/src/health.rs
@@ -52,7 +52,7 @@
             return; // it told what it had to when it was written off
         }
         // Guards against: reads that wait while most caches idle. One attempt each overruns none of them.
-        let least = if s.member.origin { 1.0 } else { self.caches.max(1) as f64 };
+        let least = if s.member.origin { 1.0 } else { self.ranking.len().max(1) as f64 };
         let gate = &mut self.gates[usize::from(s.member.origin)];
         gate.out = gate.out.saturating_sub(usize::from(!lost));
         let zone = self.zones.entry(s.member.zone).or_default();
--- a/crates/paddlefold/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -21,6 +21,7 @@
 mod api;
 mod brain;
 mod holders;
+mod ranking;
 pub mod setup;
 mod state;
 pub mod wire;
