--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -61,13 +61,15 @@
     tries: Tries,
     /// How long idle connections are kept.
     keep: KeepPolicy,
+    /// How many there are at all servers together: asked for with each attempt.
+    idle: usize,
 }
 
 impl<C: Connection> Directory<C> {
     /// For one of so many nodes, whose servers close idle connections at this age.
     pub fn new(keepalive: Duration, nodes: usize, tries: Tries) -> Self {
         let (news, servers) = Default::default();
-        Directory { news, servers, tries, keep: KeepPolicy::new(keepalive, nodes) }
+        Directory { news, servers, tries, keep: KeepPolicy::new(keepalive, nodes), idle: 0 }
     }
 
     /// It is one of so many nodes from now on.
@@ -97,7 +99,9 @@
                 stays || server.close()
             });
         }
-        list.servers.into_iter().map(|entry| self.enter(entry, setup, &discards)).collect()
+        let members = list.servers.into_iter().map(|entry| self.enter(entry, setup, &discards)).collect();
+        self.count_idle();
+        members
     }
 
     fn enter(&mut self, entry: Entry, setup: &mut Setup, discards: impl Fn(&str) -> bool) -> Member {
@@ -187,6 +191,7 @@
         let keep = self.keep;
         let server = self.servers.get_mut(&id)?;
         server.sent = Some(now);
+        let idle = server.idle.len();
         let (mut pooled, mut believed_from) = (None, now);
         while let Some(place) = server.rested(now) {
             let (since, connection) = server.idle.remove(place);
@@ -196,6 +201,7 @@
                 break;
             }
         }
+        self.idle -= idle - server.idle.len();
         let Server { addr, origin, kind, standing, .. } = &*server;
         let (kind, standing) = (kind.clone(), standing.clone());
         let Facts { deadline, left, violations } = facts;
@@ -223,8 +229,10 @@
     pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
         let keep = self.keep;
         if let Some(server) = self.servers.get_mut(&id).filter(|s| s.addr == addr && s.standing.serving()) {
+            let idle = server.idle.len();
             server.idle.retain(|(since, _)| keep.keeps(now, *since, true));
             server.idle.push((now, connection));
+            self.idle = self.idle + server.idle.len() - idle;
         }
     }
 
@@ -241,6 +249,11 @@
             });
             server.idle = idle;
         }
+        self.count_idle();
+    }
+
+    fn count_idle(&mut self) {
+        self.idle = self.servers.values().map(|server| server.idle.len()).sum();
     }
 
     /// The list, as it was told.
@@ -268,7 +281,7 @@
 
     /// How many connections are idle.
     pub fn idle(&self) -> usize {
-        self.servers.values().map(|server| server.idle.len()).sum()
+        self.idle
     }
 
     /// Closes the idle connection that was used longest ago.
@@ -276,6 +289,7 @@
         let oldest = self.servers.values_mut().filter(|s| !s.idle.is_empty()).min_by_key(|s| s.idle[0].0);
         if let Some(server) = oldest {
             server.idle.remove(0);
+            self.idle -= 1;
         }
     }
 }
