Share the tests' site of one cache and their pairs of reads

The same setting up stood in answers.rs and shutdown.rs, two reads behind one another in six tests, a read on a late connection in two.

--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -634,6 +634,35 @@
     }
 }
 
+/// A node between one cache, an origin and discovery.
+pub struct OneCache {
+    pub cache: Fake,
+    pub origin: Fake,
+    pub discovery: Fake,
+    pub node: Node,
+}
+
+impl OneCache {
+    pub fn new() -> OneCache {
+        let (cache, origin, discovery) = (Fake::cache(), Fake::http(), Fake::http());
+        let node = Node::start(&list(41, &[("s-1", cache.addr)], origin.addr), discovery.addr);
+        OneCache { cache, origin, discovery, node }
+    }
+}
+
+/// The head of a cache's answer with a value of so many bytes.
+pub fn value_head(length: usize) -> String {
+    format!("*3\r\n${length}\r\n")
+}
+
+/// Sends two reads on one connection; tells the calls of the first and of the second.
+pub fn two_reads(client: &mut Client, cache: &Fake, facts: &str) -> (Call, Call) {
+    client.send(&["CACHE.GET", "first", "id1", facts]);
+    client.send(&["CACHE.GET", "second", "id2", facts]);
+    let (one, other) = (cache.call(), cache.call());
+    if one.key() == "first" { (one, other) } else { (other, one) }
+}
+
 /// A client's connection over memcached.
 pub struct Widget(TcpStream);
 
