Decide in a module without I/O when a client's connection is closed or read

Need: when a session closes, reads on or gives its client up was spread over session.rs, among its reads and writes, and was shown by processes alone.

Change: close_policy.rs decides by what is known of a connection and the node's phase, times handed in; the session does what it says. Nothing behaves otherwise.

--- a/crates/fronts/src/close_reason.rs
+++ b/crates/fronts/src/close_reason.rs
@@ -5,7 +5,7 @@
 
 /// Why a client's connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CloseReason {
+pub enum CloseReason {
     /// The client closed or reset it.
     ClientLeft,
     /// The client has taken nothing of its answers for too long.
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -5,7 +5,8 @@
 //! for each connection reads, opens requests at the core, writes the answers in order and knows when to part.
 
 mod acceptor;
-mod close_reason;
+pub mod close_policy;
+pub mod close_reason;
 pub mod door;
 pub mod memcache;
 mod protocol;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -1,12 +1,11 @@
 //! One client's connection: reads commands, opens requests, writes the answers in the order of the commands.
 
+use std::future::pending;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, Flow, hold_up};
-use lilacquay_life::{Bearing, Manner};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::WriteHalf;
@@ -15,6 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
+use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionFacts, LongCommand, given_up_at, may_read};
 use crate::close_reason::CloseReason;
 use crate::protocol::{Input, Malformed, Parting, Protocol, Refusal};
 use crate::responses::{Collecting, Due, LargeValue, Response, Responses, Waiting};
@@ -29,30 +29,6 @@
 const WRITTEN: usize = 16 << 10;
 /// A buffer of up to this size is any connection's; larger ones are for a few at a time.
 const SMALL: usize = 8 << 10;
-/// A connection that has had nothing good to say for so long is closed: silent, or in the midst of a command.
-const PATIENCE: Duration = Duration::from_millis(2500);
-/// What is on its way on a new connection has come after so long.
-const NEW: Duration = Duration::from_millis(300);
-/// Where a node leaves service and runs on, a connection on which there is always something more to read is closed all the
-/// same so long after idle ones. A node that ends reads until its end.
-const LAST_COMMANDS: Duration = Duration::from_millis(1800);
-/// A long command that keeps coming may take so much longer: what it has, at so many bytes a second ...
-const SLOWEST: usize = 256 << 10;
-/// ... with no pause longer than this.
-const PAUSE: Duration = Duration::from_millis(500);
-/// After what can't be read, answers that are owed are waited for so long; those still out are given as failed then.
-const PARTING: Duration = Duration::from_millis(1500);
-
-/// When a connection is closed because the node takes leave of it.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum When {
-    Not,
-    AtOnce,
-    /// If nothing more has come by now.
-    Unheard,
-    /// Once what is on its way from a new client must have come.
-    Known,
-}
 
 /// What becomes of a large value that has begun to come.
 enum Begun<R> {
@@ -82,8 +58,7 @@
     asked: bool,
     /// When it came.
     born: Instant,
-    /// Since when connections without a request are to be closed.
-    unwanted: Option<Instant>,
+    close_policy: ClosePolicy,
     /// Since when nothing good has come: its start, its last answer, or a command's first byte.
     since: Instant,
     /// Whether the buffer may hold another whole command.
@@ -117,7 +92,7 @@
             heard: false,
             asked: false,
             born: now,
-            unwanted: None,
+            close_policy: ClosePolicy::default(),
             since: now,
             more: false,
             broken: None,
@@ -147,11 +122,15 @@
         let mut unread = None;
         loop {
             let unowed = self.owed.is_empty();
-            let now = *bearing.borrow_and_update();
-            let manner = now.manner;
-            let parting = self.parting(now, unowed, just_answered);
-            let over = self.shared.requests.are_over();
-            if let Some(reason) = self.done(unowed, over, parting) {
+            let phase = *bearing.borrow_and_update();
+            let places = self.places();
+            let roomy = self.buffer.len() < SMALL || self.held() >= places;
+            if !roomy {
+                self.large = None; // nobody waits for places and holds some
+            }
+            let facts = self.facts(just_answered);
+            let closing = self.close_policy.decide(phase, &facts);
+            if let CloseDecision::Close(reason) = closing {
                 return writer.shutdown().await.map(|()| reason);
             }
             just_answered = false;
@@ -159,17 +138,9 @@
             if guest != seat.as_ref().map(Seat::guest) {
                 seat = guest.map(|guest| self.shared.seats.take(guest, self.since));
             }
-            // Guards against: a client that always has a command under way and so is never rid of a node that leaves
-            // service and runs on. One that ends answers all that it has read, and reads nothing in its last 0.1 s.
-            let rests = unowed || manner == Manner::Stay || !now.accepts;
-            let reading = self.may_begin() && !self.more && rests && !over;
-            let places = self.places();
-            let roomy = self.buffer.len() < SMALL || self.held() >= places;
-            if !roomy {
-                self.large = None; // nobody waits for places and holds some
-            }
+            let reading = self.may_begin() && !self.more && may_read(phase, &facts);
             let wanted = (!roomy).then_some(places);
-            let (may_give_up, give_up_at) = (self.may_give_up(), self.give_up_at());
+            let given_up_at = given_up_at(&facts);
             tokio::select! {
                 biased;
                 received = read_or_wait_for_close(&mut reader, &mut self.buffer, self.expected, wanted, &large, reading, &mut unread) => {
@@ -196,12 +167,12 @@
                 }
                 () = yield_now(), if self.more => {}
                 // Only once nothing has come: what has is read first.
-                () = yield_now(), if parting == When::Unheard => {
+                () = yield_now(), if closing == CloseDecision::CloseIfNothingCame => {
                     return writer.shutdown().await.map(|()| CloseReason::ShuttingDown);
                 }
-                () = sleep_until(self.born + NEW), if parting == When::Known => {}
+                () = look_again(closing) => {}
                 Ok(()) = bearing.changed() => {}
-                () = sleep_until(give_up_at), if may_give_up => {
+                () = sleep_until_some(given_up_at) => {
                     let text = self.last_answers();
                     write_all(&mut writer, &text).await?;
                     return writer.shutdown().await.map(|()| self.gave_up());
@@ -212,13 +183,24 @@
         }
     }
 
-    /// Why the connection is to be closed now, if it is.
-    fn done(&self, unowed: bool, over: bool, parting: When) -> Option<CloseReason> {
-        match unowed {
-            true if self.broken.is_some() => Some(CloseReason::Malformed),
-            true if self.quits => Some(CloseReason::Quit),
-            true if over => Some(CloseReason::ProcessEnds),
-            _ => (parting == When::AtOnce).then_some(CloseReason::ShuttingDown),
+    /// What is known of the connection now.
+    fn facts(&self, just_answered: bool) -> ConnectionFacts {
+        let long = (self.expected > LARGE)
+            .then_some(LongCommand { length: self.expected, has_places: self.large.is_some() });
+        ConnectionFacts {
+            now: Instant::now(),
+            born: self.born,
+            since: self.since,
+            read_at: self.read_at,
+            owes: !self.owed.is_empty(),
+            in_command: !self.buffer.is_empty(),
+            heard: self.heard,
+            asked: self.asked,
+            just_answered,
+            malformed: self.broken,
+            quits: self.quits,
+            process_ends: self.shared.requests.are_over(),
+            long_command: long,
         }
     }
 
@@ -269,31 +251,6 @@
         self.pass_on(writer, flow, come.len()).await
     }
 
-    /// Whether the connection is to be closed, the way the node goes.
-    ///
-    /// Guards against: a request that is closed on, unread, though it had come already.
-    fn parting(&mut self, bearing: Bearing, unowed: bool, just_answered: bool) -> When {
-        let (now, manner, runs_on) = (Instant::now(), bearing.manner, bearing.accepts);
-        let unwanted = match manner {
-            Manner::Idle => *self.unwanted.get_or_insert(now),
-            Manner::Stay | Manner::BehindAnswer => {
-                self.unwanted = None;
-                now
-            }
-        };
-        if !unowed || !self.buffer.is_empty() {
-            return When::Not;
-        }
-        match manner {
-            Manner::Stay => When::Not,
-            Manner::BehindAnswer if just_answered && self.asked => When::Unheard,
-            Manner::BehindAnswer => When::Not,
-            Manner::Idle if !self.heard && now < self.born + NEW => When::Known,
-            Manner::Idle if runs_on && now >= unwanted + LAST_COMMANDS => When::AtOnce,
-            Manner::Idle => When::Unheard,
-        }
-    }
-
     /// How many places the command needs that is coming.
     fn places(&mut self) -> u32 {
         self.expected = match self.buffer.len() < SMALL {
@@ -317,29 +274,6 @@
         }
     }
 
-    /// Whether the client is waited for only for a while.
-    ///
-    /// Guards against: silent connections and halves of commands, which would be held for ever, and an error
-    /// that waits behind an answer which is long in coming.
-    fn may_give_up(&self) -> bool {
-        self.broken.is_some() || self.owed.is_empty() && (!self.heard || !self.buffer.is_empty())
-    }
-
-    fn give_up_at(&self) -> Instant {
-        if let Some(at) = self.broken {
-            return at + PARTING;
-        }
-        let usual = self.since + PATIENCE;
-        // Guards against: a long write given up while it comes or waits for places, and one that dribbles and holds its
-        // own.
-        let longest = usual + Duration::from_secs_f64(self.expected as f64 / SLOWEST as f64);
-        match self.expected > LARGE {
-            true if self.large.is_none() => longest,
-            true => usual.max((self.read_at + PAUSE).min(longest)),
-            false => usual,
-        }
-    }
-
     /// Writes a large value as it comes, from where so many bytes of it are written.
     async fn pass_on(
         &mut self,
@@ -485,3 +419,17 @@
         }
     }
 }
+
+/// Waits for when a connection is to be looked at again, if it is.
+async fn look_again(closing: CloseDecision) {
+    let at = if let CloseDecision::LookAgain(at) = closing { Some(at) } else { None };
+    sleep_until_some(at).await;
+}
+
+/// Sleeps until then; for ever without a time.
+async fn sleep_until_some(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => pending().await,
+    }
+}
