Wait in tests of late connections until the handshake has met the full backlog

Cause, traced by times printed in the test (28 plays beside eight busy processes, 4 at a time): without a pause the test opened its listener once the node had asked discovery again, and the node's handshake may begin after that. In one play it did: the node's connection came up at once and closed 2.8 ms after the request, 1.3 ms after the test's own, where 1 s lies between them otherwise. Each close is told by a thread of its own, so two that are so near come in either order. In such a play the test also did not show what its name says, a connection that comes up late.

Change: FullListener::is_attempted reads from the kernel's table whether a handshake to it has begun; the tests wait for that before the word of the drain, and in place of four pauses of 200 ms in deadlines.rs. What is asserted is unchanged; a connection that comes up at once can't pass any more.

No code of the node is changed.

--- a/crates/fleet/src/full.rs
+++ b/crates/fleet/src/full.rs
@@ -1,5 +1,6 @@
 //! A listener to which connections come up late.
 
+use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
@@ -9,6 +10,10 @@
 /// Connections that wait to be accepted once a listener is open again.
 const BACKLOG: i32 = 1024;
 
+/// The kernel's table of IPv4 connections, and the state in it of one whose handshake has begun.
+const CONNECTIONS: &str = "/proc/net/tcp";
+const SYN_SENT: &str = "02";
+
 /// A listener whose backlog is full: the kernel drops what connects, and tries it again after a second.
 pub struct FullListener {
     socket: Socket,
@@ -58,6 +63,22 @@
         self.socket.local_addr()?.as_socket().ok_or_else(|| io::Error::other("no address"))
     }
 
+    /// Whether a client's handshake has begun and met the full backlog. For IPv4 alone.
+    ///
+    /// # Errors
+    /// If the system doesn't tell.
+    pub fn is_attempted(&self) -> io::Result<bool> {
+        let SocketAddr::V4(addr) = self.local_addr()? else {
+            return Err(io::ErrorKind::Unsupported.into());
+        };
+        let listener = format!("{:08X}:{:04X}", u32::from_ne_bytes(addr.ip().octets()), addr.port());
+        let table = fs::read_to_string(CONNECTIONS)?;
+        Ok(table.lines().any(|line| {
+            let [remote, state] = [2, 3].map(|column| line.split_whitespace().nth(column));
+            remote == Some(&listener) && state == Some(SYN_SENT)
+        }))
+    }
+
     /// Takes connections again: first the one that filled it, which ends now, and in time those that were dropped.
     ///
     /// # Errors
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -8,15 +8,25 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use lilacquay_codec::memcache::{HEADER, Malformed, Opcode, Packet, Status, next_request, next_response};
+use lilacquay_fleet::FullListener;
 
 /// Long enough for any machine; reached only by a test that fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Waits until the node has begun a connection that meets the full backlog.
+pub fn wait_for_attempt(late: &FullListener) {
+    let start = Instant::now();
+    while !late.is_attempted().unwrap() {
+        assert!(start.elapsed() < PATIENCE, "no connection was begun");
+        sleep(Duration::from_millis(1));
+    }
+}
+
 /// What a scripted server was asked, and the connection to answer on.
 pub struct Call {
     /// A command's words; of HTTP the method, path, header lines and body; over memcached the opcode in hex, the
--- a/crates/lilacquay/tests/deadlines.rs
+++ b/crates/lilacquay/tests/deadlines.rs
@@ -23,7 +23,7 @@
 
 /// Lets connections come up from now on, once the kernel has met the full backlog.
 fn opened(late: FullListener) -> Fake {
-    sleep(Duration::from_millis(200));
+    wait_for_attempt(&late);
     Fake::behind(late.open().unwrap())
 }
 
@@ -173,7 +173,6 @@
     client.get("k", "c=read,d=1900");
     let _silent = site.cache.call();
     let (_cache, _origin, _node) = site.tell(&[entry("s-2", late.local_addr().unwrap(), "m", "SERVING")]);
-    sleep(Duration::from_millis(200)); // it is hedged
     let hedge = opened(late).call();
     assert!(sent.elapsed() >= RETRANSMIT / 2, "the connection came up at once");
     assert_told_no_more_than_is_left(&hedge, sent, WAIT);
@@ -231,7 +230,7 @@
     let (node, _origin, _discovery) = node_with(late.local_addr().unwrap(), &without_cancel());
     let mut client = node.client();
     client.get("k", "c=read,d=60000");
-    sleep(Duration::from_millis(200)); // the first handshake has met the full backlog
+    wait_for_attempt(&late);
     drop(client);
     let cache = opened(late);
     // The test's own connection, and the node's, which carries nothing.
@@ -289,7 +288,7 @@
     let late = FullListener::fill(listener).unwrap(); // the next connection comes up late
     wait_for_bytes(&first);
     drop(first); // reset with the request unread: it may have run
-    sleep(Duration::from_millis(200));
+    wait_for_attempt(&late);
     let origin = Fake::http_behind(late.open().unwrap());
     let answer = client.answer();
     assert!(origin.called().is_none(), "sent again after the window");
--- a/crates/lilacquay/tests/deployments.rs
+++ b/crates/lilacquay/tests/deployments.rs
@@ -183,6 +183,7 @@
             let call = discovery.call();
             let mut client = node.client();
             client.get("k", "c=read,d=60000");
+            wait_for_attempt(&late);
             let drained = entry("s-1", addr, "m", "DRAINING");
             call.http("200 OK", &format!(r#"{{"version":42,"full":false,"servers":[{drained}]}}"#));
             let _watch = discovery.call(); // the word has been read
