Read and write a connection until it says that it would block, not until a call is short

Callers saw requests that were never read to their end, answers that stopped after a few bytes, and reads that ended as BUSY since caches' answers were not read on, wherever recv or send took a part of what there was.

Cause: the runtime's TCP stream holds a socket to be drained once a read fills less than its buffer, and to be full once a write takes less than it was given. It then waits for the next edge of readiness, which never comes where the call was merely short.

Change: the origin's stream, which tries calls until they would block, becomes a package of its own (lilacquay-stream) and is used for clients, caches, origin, discovery and the second address. Where places are taken for a large command, it is looked whether a byte has come: readiness alone may be stale now.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use call::{Answer, Call, NoCall, parse};
+use lilacquay_stream::Stream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -95,8 +96,9 @@
     }
 }
 
-async fn attend<H: Host>(mut stream: TcpStream, host: &H, cleared: oneshot::Receiver<()>) -> io::Result<()> {
+async fn attend<H: Host>(stream: TcpStream, host: &H, cleared: oneshot::Receiver<()>) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut stream = Stream::new(stream);
     let line = tokio::select! {
         biased;
         read = timeout(PATIENCE, read(&mut stream)) => read.unwrap_or(Ok(Err(NoCall::Half)))?,
@@ -113,7 +115,7 @@
     timeout(PATIENCE, written).await?
 }
 
-async fn read(stream: &mut TcpStream) -> io::Result<Result<Call, NoCall>> {
+async fn read(stream: &mut Stream) -> io::Result<Result<Call, NoCall>> {
     let mut come = Vec::with_capacity(call::LONGEST);
     loop {
         match parse(&come) {
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -6,9 +6,9 @@
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, Flow, hold_up};
+use lilacquay_stream::Stream;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::WriteHalf;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
@@ -100,9 +100,10 @@
         }
     }
 
-    pub async fn run(mut self, mut stream: TcpStream) {
+    pub async fn run(mut self, stream: TcpStream) {
         let peer = stream.peer_addr().ok();
-        let reason = self.serve(&mut stream).await.unwrap_or_else(CloseReason::from);
+        let stream = Stream::new(stream);
+        let reason = self.serve(&stream).await.unwrap_or_else(CloseReason::from);
         let (owed, unread) = (self.owed.len(), self.buffer.len());
         debug!(?peer, owed, unread, "a client's connection closes: {reason}");
         if reason.is_clients_own() {
@@ -113,9 +114,9 @@
     }
 
     /// Serves the connection to its end; tells why it ends. An error is the client's, or [`CloseReason`] has its kind.
-    async fn serve(&mut self, stream: &mut TcpStream) -> io::Result<CloseReason> {
-        stream.set_nodelay(true)?;
-        let (mut reader, mut writer) = stream.split();
+    async fn serve(&mut self, stream: &Stream) -> io::Result<CloseReason> {
+        stream.socket().set_nodelay(true)?;
+        let (mut reader, mut writer) = (stream.clone(), stream.clone());
         let (mut bearing, large) = (self.shared.bearing.clone(), self.shared.large.clone());
         let (mut seat, mut just_answered) = (None, false);
         // Since when something lies unread, as far as it is known.
@@ -160,7 +161,7 @@
                     tokio::select! {
                         biased;
                         written = self.write_answers(&mut writer, text, large) => written?,
-                        seen = wait_for_close(reader.as_ref(), &mut unread) => return seen.map(|()| CloseReason::ClientLeft),
+                        seen = wait_for_close(&reader, &mut unread) => return seen.map(|()| CloseReason::ClientLeft),
                     }
                     self.since = Instant::now();
                     just_answered = true;
@@ -240,7 +241,7 @@
     /// Writes answers, and the large value behind them as it comes.
     async fn write_answers(
         &mut self,
-        writer: &mut WriteHalf<'_>,
+        writer: &mut Stream,
         mut text: BytesMut,
         large: Option<LargeValue<P::Reply>>,
     ) -> io::Result<()> {
@@ -275,12 +276,7 @@
     }
 
     /// Writes a large value as it comes, from where so many bytes of it are written.
-    async fn pass_on(
-        &mut self,
-        writer: &mut WriteHalf<'_>,
-        mut flow: Flow,
-        written: usize,
-    ) -> io::Result<()> {
+    async fn pass_on(&mut self, writer: &mut Stream, mut flow: Flow, written: usize) -> io::Result<()> {
         let mut left = flow.length().saturating_sub(written);
         while left > 0 {
             // Guards against: a value that is not whole and looks so. The client sees the connection end.
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -9,9 +9,8 @@
 
 use bytes::BytesMut;
 use lilacquay_core::hold_up;
+use lilacquay_stream::Stream;
 use tokio::io::{AsyncWriteExt, Interest};
-use tokio::net::TcpStream;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::io::poll_read_buf;
@@ -29,7 +28,7 @@
 ///
 /// Guards against: one that takes none for long, or so few that it holds a server's connection for ever, and one that
 /// reads slowly given up like them.
-pub(crate) async fn write_all(writer: &mut WriteHalf<'_>, mut text: &[u8]) -> io::Result<()> {
+pub(crate) async fn write_all(writer: &mut Stream, mut text: &[u8]) -> io::Result<()> {
     let last = Instant::now() + STUCK + Duration::from_secs((text.len() / LEAST_RATE) as u64);
     while !text.is_empty() {
         match timeout_at(last.min(Instant::now() + STUCK), writer.write(text)).await?? {
@@ -50,7 +49,7 @@
 
 /// What comes next of a client's commands; while they are not read, only its end.
 pub(crate) async fn read_or_wait_for_close(
-    reader: &mut ReadHalf<'_>,
+    reader: &mut Stream,
     buffer: &mut BytesMut,
     expected: usize,
     wanted: Option<u32>,
@@ -61,18 +60,18 @@
     if reading {
         return read_or_reserve(reader, buffer, expected, wanted, large).await;
     }
-    wait_for_close(reader.as_ref(), unread).await.map(|()| Received::Bytes(0))
+    wait_for_close(reader, unread).await.map(|()| Received::Bytes(0))
 }
 
 /// Waits until the client closes, without reading, and notes since when something lies unread.
-pub(crate) async fn wait_for_close(socket: &TcpStream, unread: &mut Option<Instant>) -> io::Result<()> {
+pub(crate) async fn wait_for_close(stream: &Stream, unread: &mut Option<Instant>) -> io::Result<()> {
     loop {
-        if socket.peek(&mut [0]).await? == 0 {
+        if stream.peek(&mut [0]).await? == 0 {
             return Ok(());
         }
         unread.get_or_insert_with(|| hold_up::arrival(Instant::now()));
         // The end may stand behind what is not read.
-        if socket.ready(Interest::READABLE).await?.is_read_closed() {
+        if stream.socket().ready(Interest::READABLE).await?.is_read_closed() {
             return Ok(());
         }
         sleep(LOOK).await;
@@ -83,23 +82,23 @@
 ///
 /// Guards against: places held for what nobody sends.
 async fn read_or_reserve(
-    reader: &mut ReadHalf<'_>,
+    reader: &mut Stream,
     buffer: &mut BytesMut,
     expected: usize,
     wanted: Option<u32>,
     large: &Arc<Semaphore>,
 ) -> io::Result<Received> {
     let Some(places) = wanted else { return receive(reader, buffer, expected).await.map(Received::Bytes) };
-    reader.readable().await?;
+    reader.peek(&mut [0]).await?;
     let readable = hold_up::arrival(Instant::now());
     let held = large.clone().acquire_many_owned(places).await.map_err(io::Error::other)?;
     Ok(Received::Places(held, readable))
 }
 
 /// Reads what has come into a buffer, which takes no memory before something has.
-async fn receive(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut, expected: usize) -> io::Result<usize> {
+async fn receive(reader: &mut Stream, buffer: &mut BytesMut, expected: usize) -> io::Result<usize> {
     poll_fn(|cx| {
-        ready!(reader.as_ref().poll_read_ready(cx))?;
+        ready!(reader.socket().poll_read_ready(cx))?;
         // Of a command that is not small all that it needs, in one piece; else twice what there is.
         let room = if expected > 0 { expected.saturating_sub(buffer.len()) } else { buffer.len() };
         buffer.reserve(ROOM.max(room));
--- a/crates/members/src/discovery.rs
+++ b/crates/members/src/discovery.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use lilacquay_core::{Entry, List, Members, State};
+use lilacquay_stream::Stream;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::net::TcpStream;
@@ -244,7 +245,7 @@
 async fn connect(at: SocketAddr) -> Result<Client, Error> {
     let stream = TcpStream::connect(at).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(Stream::new(stream))).await?;
     let task = tokio::spawn(async move {
         let _ = connection.await; // a break shows in the call that is out
     });
--- a/crates/upstreams/src/shared_stream.rs
+++ b/crates/stream/src/lib.rs
@@ -1,6 +1,11 @@
-//! A socket that one task reads and writes while another may look at it.
+//! A TCP connection whose reads and writes may be short.
+//!
+//! The runtime's own stream holds a socket to be drained once a read fills less than its buffer, and to be full once a
+//! write takes less than it was given; it waits for news of the socket then, which never comes if the call was merely
+//! short. Here a socket is asked until it says that it would block.
 
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -10,14 +15,14 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A handle on a socket; it closes with the last one.
-#[derive(Clone)]
-pub(crate) struct SharedStream(Arc<TcpStream>);
+/// A handle on a connection, which closes with the last one. One task may read while another writes.
+#[derive(Clone, Debug)]
+pub struct Stream(Arc<TcpStream>);
 
-impl SharedStream {
-    /// The first handle on a socket.
+impl Stream {
+    /// The first handle on a connection.
     pub fn new(stream: TcpStream) -> Self {
-        SharedStream(Arc::new(stream))
+        Stream(Arc::new(stream))
     }
 
     /// The socket itself.
@@ -25,6 +30,22 @@
         &self.0
     }
 
+    /// Looks at the next bytes without taking them; none is the end.
+    ///
+    /// # Errors
+    /// If the connection is broken.
+    pub async fn peek(&self, bytes: &mut [u8]) -> io::Result<usize> {
+        self.0.peek(bytes).await
+    }
+
+    /// How many bytes there are to be read now, one at most; the kernel is asked itself. None is the end.
+    ///
+    /// # Errors
+    /// If nothing has come, or the connection is broken.
+    pub fn try_peek(&self) -> io::Result<usize> {
+        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
+    }
+
     /// Tries to write until the socket takes something or fails.
     fn poll_try_write(
         &self,
@@ -41,7 +62,7 @@
     }
 }
 
-impl AsyncRead for SharedStream {
+impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -57,7 +78,7 @@
     }
 }
 
-impl AsyncWrite for SharedStream {
+impl AsyncWrite for Stream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         self.poll_try_write(cx, |socket| socket.try_write(bytes))
     }
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -14,15 +14,14 @@
 use lilacquay_core::{
     Call, Connection, FLOW_LIMIT, Feeder, IdleState, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb,
 };
+use lilacquay_stream::Stream;
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::facts::{time_to_tell, with_time_left};
 use crate::idle_state;
 use crate::pass::{self, Broken};
-use crate::shared_stream::SharedStream;
 
 /// What one connection buffers of an answer, in bytes.
 const BUFFER: usize = 32 << 10;
@@ -43,7 +42,7 @@
 pub struct Origin {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    stream: SharedStream,
+    stream: Stream,
 }
 
 impl Drop for Origin {
@@ -58,11 +57,10 @@
     ///
     /// # Errors
     /// If the connection has broken already.
-    pub async fn new(stream: TcpStream) -> io::Result<Self> {
+    pub async fn new(stream: Stream) -> io::Result<Self> {
         // A large value's reader may be slow: what stands here meanwhile is bounded.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER);
-        let stream = SharedStream::new(stream);
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream.clone())).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -74,7 +72,7 @@
 
 impl Connection for Origin {
     fn idle_state(&self) -> IdleState {
-        match idle_state(self.stream.socket()) {
+        match idle_state(&self.stream) {
             IdleState::Live if self.sender.is_closed() => IdleState::Closed,
             state => state,
         }
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -6,15 +6,13 @@
 pub mod memcache;
 mod pass;
 pub mod resp;
-mod shared_stream;
 
 use std::collections::BTreeSet;
 use std::io;
-use std::mem::MaybeUninit;
 use std::sync::Arc;
 
 use lilacquay_core::{Call, Connection, IdleState, Reply, Target, Upstream};
-use socket2::SockRef;
+use lilacquay_stream::Stream;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -52,6 +50,7 @@
     async fn connect(&self, target: &Target) -> io::Result<Link> {
         let stream = TcpStream::connect(target.addr).await?;
         stream.set_nodelay(true)?;
+        let stream = Stream::new(stream);
         Ok(match target.origin {
             false if self.memcached.contains(&*target.kind) => {
                 Link::Memcache(memcache::Memcache::new(stream))
@@ -91,9 +90,8 @@
 
 /// What the peer has done to a connection that nothing was asked on. The kernel is asked itself: what the runtime has seen
 /// may be a moment old.
-fn idle_state(stream: &TcpStream) -> IdleState {
-    let mut byte = [MaybeUninit::uninit()];
-    match SockRef::from(stream).peek(&mut byte) {
+fn idle_state(stream: &Stream) -> IdleState {
+    match stream.try_peek() {
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => IdleState::Live,
         Err(_) | Ok(0) => IdleState::Closed,
         Ok(_) => IdleState::Unasked,
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -4,6 +4,7 @@
 //! an outcome that never ran; one that tells nothing for certain, and all that is not the answer to this request,
 //! may have run.
 
+use lilacquay_stream::Stream;
 use tokio::time::Instant;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -14,7 +15,6 @@
     Call, Connection, FLOW_LIMIT, IdleState, Made, Outcome, Reply, Target, Terms, VALUE_LIMIT, Verb,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 use crate::idle_state;
 use crate::pass::{pass, read};
@@ -28,17 +28,17 @@
 
 /// A connection to a cache, between requests.
 pub struct Memcache {
-    stream: TcpStream,
+    stream: Stream,
     /// The opaque of the next request. Guards against: an answer to an earlier one, taken for this one's.
     opaque: u32,
 }
 
 impl Memcache {
     /// Speaks the binary protocol on a connection that is up.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: Stream) -> Self {
         // A place to begin that differs between connections, so that an answer which a server mixes up among
         // them is known too.
-        let opaque = stream.local_addr().map_or(0, |addr| u32::from(addr.port())) << 16;
+        let opaque = stream.socket().local_addr().map_or(0, |addr| u32::from(addr.port())) << 16;
         Memcache { stream, opaque }
     }
 }
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -7,8 +7,8 @@
 use lilacquay_core::{
     Call, Connection, FLOW_LIMIT, Feeder, IdleState, Made, Outcome, Reply, Target, VALUE_LIMIT, Verb,
 };
+use lilacquay_stream::Stream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 use crate::facts::{time_to_tell, time_to_write, with_time_left};
@@ -29,11 +29,11 @@
 const ROOM: usize = 1 << 10;
 
 /// A connection to a cache, between requests.
-pub struct Cache(TcpStream);
+pub struct Cache(Stream);
 
 impl Cache {
     /// Speaks RESP2 on a connection that is up.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: Stream) -> Self {
         Cache(stream)
     }
 }
