Repeat reads, writes and looks at a connection that a signal has interrupted

Callers saw their connections end with no answer to what was read on them, and servers' connections break with a request out, where recv or send returned EINTR.

Cause: the runtime passes EINTR on, and sessions and servers' connections took it for a broken connection. A connection at rest whose look was interrupted was held to be closed.

Change: lilacquay-stream repeats a read, a write or a look that was interrupted.

--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -1,8 +1,8 @@
-//! A TCP connection whose reads and writes may be short.
+//! A TCP connection whose reads and writes may be short or interrupted.
 //!
 //! The runtime's own stream holds a socket to be drained once a read fills less than its buffer, and to be full once a
 //! write takes less than it was given; it waits for news of the socket then, which never comes if the call was merely
-//! short. Here a socket is asked until it says that it would block.
+//! short. Here a socket is asked until it says that it would block, and a call that was interrupted is repeated.
 
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -35,7 +35,12 @@
     /// # Errors
     /// If the connection is broken.
     pub async fn peek(&self, bytes: &mut [u8]) -> io::Result<usize> {
-        self.0.peek(bytes).await
+        loop {
+            match self.0.peek(bytes).await {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return peeked,
+            }
+        }
     }
 
     /// How many bytes there are to be read now, one at most; the kernel is asked itself. None is the end.
@@ -43,7 +48,12 @@
     /// # Errors
     /// If nothing has come, or the connection is broken.
     pub fn try_peek(&self) -> io::Result<usize> {
-        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
+        loop {
+            match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return peeked,
+            }
+        }
     }
 
     /// Tries to write until the socket takes something or fails.
@@ -55,13 +65,18 @@
         loop {
             ready!(self.0.poll_write_ready(cx))?;
             match write(&self.0) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_passing(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
     }
 }
 
+/// Whether a call that failed so is to be repeated, once the socket is ready.
+fn is_passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 impl AsyncRead for Stream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -71,7 +86,7 @@
         loop {
             ready!(self.0.poll_read_ready(cx))?;
             match self.0.try_read(buffer.initialize_unfilled()) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_passing(&error) => {}
                 read => return Poll::Ready(read.map(|read| buffer.advance(read))),
             }
         }
