Take connections behind one that failed before the listener closes at the end

Callers who had connected in the last moment before a node stops accepting were reset with their requests unread, where the connection before theirs had aborted or a descriptor was short for a moment.

Cause: the last look at the backlog ended at the first error of accept, whatever it was. It asks until the kernel says that none is left now: an error of one connection is passed over, and where the machine lacks something room is made as usual, for 0.1 s at most.

What follows an error of accept stands once for both loops.

--- a/crates/fronts/src/acceptor.rs
+++ b/crates/fronts/src/acceptor.rs
@@ -1,5 +1,6 @@
 //! Listeners, and the bounds that hold for the clients of all of them together.
 
+use std::io::{self, ErrorKind};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
 const BACKLOG: usize = 1024;
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
+/// Connections that wait to be accepted at the end are taken for so long at most.
+const LAST_LOOK: Duration = Duration::from_millis(100);
 
 /// What the connections of all fronts share. Cheap to clone.
 #[derive(Clone)]
@@ -48,22 +51,45 @@
         // process takes them, they are that one's.
         let shared = bearing.borrow().says_yes;
         if !shared {
-            self.take_waiting(listener, &protocol);
+            self.take_waiting(listener, &protocol).await;
         }
     }
 
     /// Takes the connections that wait to be accepted, and none beyond. The kernel is asked itself: the runtime, woken by
     /// a timer or a signal, may not have heard of them.
-    fn take_waiting<P: Protocol>(&self, listener: TcpListener, protocol: &impl Fn() -> P) {
+    ///
+    /// Guards against: connections behind one that fails, reset with their requests.
+    async fn take_waiting<P: Protocol>(&self, listener: TcpListener, protocol: &impl Fn() -> P) {
         let Ok(listener) = listener.into_std() else { return };
-        let waiting = listener.incoming().take(BACKLOG).map_while(Result::ok);
-        for stream in waiting {
-            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            match stream {
-                Ok(stream) => self.attend(stream, protocol()),
-                Err(error) => warn!("accept: {error}"),
+        let (start, mut taken) = (Instant::now(), 0);
+        while taken < BACKLOG && start.elapsed() < LAST_LOOK {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    taken += 1;
+                    self.attend_accepted(stream, protocol());
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if is_own_shortage(&error) => self.accept_ran_short(&error, start).await,
+                Err(error) => one_has_failed(&error).await,
             }
         }
+        warn!(taken, "connections may be left that waited to be accepted");
+    }
+
+    fn attend_accepted<P: Protocol>(&self, stream: std::net::TcpStream, protocol: P) {
+        match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            Ok(stream) => self.attend(stream, protocol),
+            Err(error) => warn!("accept: {error}"),
+        }
+    }
+
+    /// After an accept that failed since this machine lacks something: makes room, since then, for the next.
+    ///
+    /// Guards against: an exit, or a busy loop, when descriptors run out; and clients closed on for want of what is there
+    /// again a moment later.
+    async fn accept_ran_short(&self, error: &io::Error, since: Instant) {
+        warn!("accept: {error}");
+        self.make_room(goes(true, since.elapsed().as_micros() as Micros)).await;
     }
 
     fn attend<P: Protocol>(&self, stream: TcpStream, protocol: P) {
@@ -83,18 +109,10 @@
                     short_since = None;
                     self.attend(stream, protocol());
                 }
-                // Guards against: an exit, or a busy loop, when descriptors run out; and clients closed on for want of
-                // what is there again a moment later.
                 Err(error) if is_own_shortage(&error) => {
-                    warn!("accept: {error}");
-                    let waited = short_since.get_or_insert_with(Instant::now).elapsed();
-                    self.make_room(goes(true, waited.as_micros() as Micros)).await;
-                }
-                // Of the one connection alone: its client has gone, say.
-                Err(error) => {
-                    warn!("accept: {error}");
-                    yield_now().await;
+                    self.accept_ran_short(&error, *short_since.get_or_insert_with(Instant::now)).await;
                 }
+                Err(error) => one_has_failed(&error).await,
             }
         }
     }
@@ -133,3 +151,9 @@
         cleared
     }
 }
+
+/// After an accept that failed for the one connection: its client has gone, say.
+async fn one_has_failed(error: &io::Error) {
+    warn!("accept: {error}");
+    yield_now().await;
+}
