Hold a new server to slow start though the wall clock had been stepped

A process that took its time from a wall clock an hour ahead sent a server that was new in a change all its reads at once, instead of what slow start allows: by that clock the server had started an hour ago.

Cause: that a start can't be as long ago as it seems was known of servers that the process had listed before, whose start had changed, but not of ones that it had never heard of. A change that is told once the process has caught up was made since it began; what is new in it has started since then. The first change after the beginning may be as old as the list that the process began with, and is believed.

Evidence: a_new_server_was_taken_for_warm_since_the_wall_clock_had_been_stepped, 10 s and an hour after the beginning, clocks agreeing and an hour apart both ways; failed where the own clock is ahead. a_server_that_the_first_change_tells_is_warm_where_it_started_long_ago passed before and guards what could have been lost. What decides on slow start stands in a module of its own, slow_start.rs.

--- a/crates/paddlefold/src/brain.rs
+++ b/crates/paddlefold/src/brain.rs
@@ -13,6 +13,7 @@
 use crate::api::*;
 use crate::holders::*;
 use crate::ranking::{Part, Ranking, Terms};
+use crate::slow_start::{ListHistory, cold_since};
 use crate::state::*;
 
 #[path = "cost.rs"]
@@ -76,6 +77,7 @@
     flights: HashMap<u64, Vec<RequestId>>, // fetches that are out or wait, by key, with who waits for them
     gates: [Gate; 2],                      // limits on what is out at the caches together, and at the origin
     list_failures: Option<u32>, // calls for the list that failed in a row; none before the first call
+    lists: ListHistory,
 }
 
 impl Balancer {
@@ -105,6 +107,7 @@
             flights: HashMap::new(),
             gates: [CACHES, ORIGIN].map(|_| Gate::new(usual / 3.0, START, USUAL)),
             list_failures: None,
+            lists: ListHistory::default(),
             settings,
         }
     }
@@ -155,11 +158,13 @@
         if scope == ListScope::Full {
             self.servers.values_mut().for_each(|s| s.member.state = MemberState::Removed);
         }
+        let fresh = self.lists.are_changes_fresh(scope, self.now, self.tau() as Micros);
+        self.lists.note(self.now);
         for mut member in members {
             let steady = self.settings.steady_weights && member.weight.is_finite();
             member.weight = if steady && member.weight > 0.0 { member.weight } else { 1.0 };
             let known = self.servers.get(&member.id);
-            let cold_since = self.cold_since(&member, known);
+            let cold_since = cold_since(&member, known, fresh, self.now, self.settings.cold);
             let server =
                 self.servers.entry(member.id).or_insert_with(|| Server::new(member.clone(), self.now));
             if server.cold_since != cold_since {
@@ -176,20 +181,6 @@
         self.unsized_list = caches().zip(caches().skip(1)).all(|(a, b)| a.member.weight == b.member.weight);
     }
 
-    /// Since when a server is in slow start, if it is.
-    ///
-    /// The wall clock may have been stepped before this process took its time from it: a start that lies
-    /// ahead is now, and a server whose start has changed since it was known has started since then.
-    fn cold_since(&self, member: &Member, known: Option<&Server>) -> Option<Micros> {
-        let started = member.started?;
-        let since = match known {
-            Some(s) if s.member.started == member.started => s.cold_since?,
-            Some(_) if self.now.saturating_sub(started) >= self.settings.cold => self.now,
-            _ => started.min(self.now),
-        };
-        Some(since).filter(|&since| self.now - since < self.settings.cold)
-    }
-
     // ---- the ordinary path ----
 
     fn arrive(&mut self, request: Request, out: &mut Vec<Action>) {
--- a/crates/paddlefold/src/lib.rs
+++ b/crates/paddlefold/src/lib.rs
@@ -23,6 +23,7 @@
 mod holders;
 mod ranking;
 pub mod setup;
+mod slow_start;
 mod state;
 pub mod wire;
 
--- a/crates/paddlefold/tests/begin.rs
+++ b/crates/paddlefold/tests/begin.rs
@@ -173,33 +173,49 @@
     assert!(begun.contains(&Err(Withheld::SlowStart)), "{begun:?}");
 }
 
-/// What a cache that is told to have started at a time is sent of ten reads that come at once; 20 before it, so that there
-/// is a rate.
-fn sent_to_restarted(started: Micros) -> usize {
+/// What a cache that is told to have started at a time is sent of ten reads that come at once, where the list held some
+/// caches before and it comes with a change so much later.
+fn sent_to_started(started: Micros, before: &[u32], later: Micros) -> usize {
     let now = 7_200_000 * MS;
-    let mut balancer = Balancer::new(settings(), 7, now);
+    let mut balancer = Balancer::new(settings(), 7, now - later);
     let mut actions = Vec::new();
-    let list = |scope, started| Event::Members {
-        scope,
-        members: vec![Member { started, ..Member::up(ServerId(1)) }],
-    };
-    balancer.on_event(now, list(ListScope::Full, None), &mut actions);
-    balancer.on_event(now + MS, list(ListScope::Delta, Some(started)), &mut actions);
+    let list = |scope, members| Event::Members { scope, members };
+    let listed = before.iter().map(|&id| Member::up(ServerId(id))).collect();
+    balancer.on_event(now - later, list(ListScope::Full, listed), &mut actions);
+    let member = Member { started: Some(started), ..Member::up(ServerId(1)) };
+    balancer.on_event(now, list(ListScope::Delta, vec![member]), &mut actions);
     actions.clear();
     for n in 1..=10 {
         let request = Request { class: Some(READ), budget: 1000 * MS, ..Request::new(RequestId(n)) };
-        balancer.on_event(now + 2 * MS, Event::Request(request), &mut actions);
+        balancer.on_event(now + MS, Event::Request(request), &mut actions);
     }
-    actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+    actions.iter().filter(|action| matches!(action, Action::Send { server: ServerId(1), .. })).count()
 }
 
 #[test]
 fn a_server_that_started_anew_was_taken_for_warm_since_the_wall_clock_had_been_stepped() {
     let hour = 3_600_000 * MS;
     let now = 2 * hour;
-    assert!(sent_to_restarted(now) <= 1, "as it is told where clocks agree");
-    assert!(sent_to_restarted(now - hour) <= 1, "our clock is an hour ahead");
-    assert!(sent_to_restarted(now + hour) <= 1, "our clock is an hour behind");
+    assert!(sent_to_started(now, &[1], MS) <= 1, "as it is told where clocks agree");
+    assert!(sent_to_started(now - hour, &[1], MS) <= 1, "our clock is an hour ahead");
+    assert!(sent_to_started(now + hour, &[1], MS) <= 1, "our clock is an hour behind");
+}
+
+#[test]
+fn a_new_server_was_taken_for_warm_since_the_wall_clock_had_been_stepped() {
+    let hour = 3_600_000 * MS;
+    let now = 2 * hour;
+    for later in [10_000 * MS, hour] {
+        assert!(sent_to_started(now, &[], later) <= 1, "as it is told where clocks agree");
+        assert!(sent_to_started(now - hour, &[], later) <= 1, "our clock is an hour ahead");
+        assert!(sent_to_started(now + hour, &[], later) <= 1, "our clock is an hour behind");
+    }
+}
+
+#[test]
+fn a_server_that_the_first_change_tells_is_warm_where_it_started_long_ago() {
+    let hour = 3_600_000 * MS;
+    assert!(sent_to_started(hour, &[], MS) > 1, "the list that was kept may be old");
 }
 
 #[test]
--- a/crates/paddlefold/tests/size.rs
+++ b/crates/paddlefold/tests/size.rs
@@ -5,13 +5,14 @@
 /// Characters of a line.
 const WIDEST_LINE: usize = 110;
 
-const FILES: [(&str, &str); 7] = [
+const FILES: [(&str, &str); 8] = [
     ("brain.rs", include_str!("../src/brain.rs")),
     ("cost.rs", include_str!("../src/cost.rs")),
     ("health.rs", include_str!("../src/health.rs")),
     ("holders.rs", include_str!("../src/holders.rs")),
     ("permit.rs", include_str!("../src/permit.rs")),
     ("ranking.rs", include_str!("../src/ranking.rs")),
+    ("slow_start.rs", include_str!("../src/slow_start.rs")),
     ("state.rs", include_str!("../src/state.rs")),
 ];
 
