Let system calls of the soak's nodes fail on every second seed

Change: on even seeds all nodes run with the library that makes their calls fail, in a rhythm that the seed draws: short and interrupted reads and writes, errors of accept, connect and socket, a stepped clock. How many faults were injected is counted with the rest.

--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -5,6 +5,7 @@
 mod pipelined;
 mod process;
 mod run_delay;
+mod system_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
@@ -28,6 +29,9 @@
 use pipelined::{Pace, Pipelined, pipelined};
 use process::Process;
 use run_delay::RunDelays;
+use system_calls::SystemCallFaults;
+
+pub use system_calls::Program;
 
 /// Nodes of one site.
 const NODES: usize = 24;
@@ -75,7 +79,7 @@
 ///
 /// # Errors
 /// If a socket, a file or a process can't be had.
-pub fn play(program: &Path, folder: &Path, seed: u64) -> io::Result<Verdict> {
+pub fn play(program: &Program, folder: &Path, seed: u64) -> io::Result<Verdict> {
     let mut soak = Soak::start(program, folder, seed)?;
     let reports = soak.play()?;
     Ok(soak.judge(reports))
@@ -97,8 +101,9 @@
 }
 
 impl Place {
-    fn start(&mut self, program: &Path, fleet: &Fleet) -> io::Result<()> {
-        let process = Process::start(program, &fleet.configuration(self.listen, SOCKETS), self.file.clone())?;
+    fn start(&mut self, program: &Path, faults: &SystemCallFaults, fleet: &Fleet) -> io::Result<()> {
+        let configuration = fleet.configuration(self.listen, SOCKETS);
+        let process = Process::start(program, &configuration, self.file.clone(), faults.environment())?;
         self.listen = process.listen;
         (self.process, self.ends) = (Some(process), false);
         Ok(())
@@ -132,6 +137,7 @@
     seed: u64,
     fleet: Fleet,
     program: PathBuf,
+    system_calls: SystemCallFaults,
     places: Vec<Place>,
     crowd: Vec<TcpStream>,
     pipelined: Vec<Pipelined>,
@@ -141,7 +147,8 @@
 }
 
 impl Soak {
-    fn start(program: &Path, folder: &Path, seed: u64) -> io::Result<Soak> {
+    fn start(program: &Program, folder: &Path, seed: u64) -> io::Result<Soak> {
+        let system_calls = SystemCallFaults::draw(program, folder, seed);
         let delay = Duration::from_millis(seed % 4 * 100);
         let fleet = Fleet::start(Plan { seed, boxes: CACHES, delay, ..Plan::default() })?;
         let place = |node: usize| {
@@ -153,10 +160,11 @@
         };
         let mut places: Vec<Place> = (0..NODES).map(place).collect();
         for place in &mut places {
-            place.start(program, &fleet)?;
+            place.start(&program.path, &system_calls, &fleet)?;
         }
         let (crowd, pipelined, run_delays, told) = Default::default();
-        Ok(Soak { seed, fleet, program: program.to_owned(), places, crowd, pipelined, run_delays, told })
+        let program = program.path.clone();
+        Ok(Soak { seed, fleet, program, system_calls, places, crowd, pipelined, run_delays, told })
     }
 
     fn load(&self, node: usize) -> Load {
@@ -187,7 +195,7 @@
                     self.told.push(format!("{} did not end by itself when it was told to", place.listen));
                 }
             }
-            Act::Start => place.start(&self.program, &self.fleet)?,
+            Act::Start => place.start(&self.program, &self.system_calls, &self.fleet)?,
             Act::Look => {}
             Act::Crowd(size) => self.crowd.extend(crowd(place.listen, size)),
         }
@@ -324,6 +332,7 @@
             ("values that stopped", halted),
             ("answers cut, of no length", cut),
             ("broken off at a client", ended(End::Broken)),
+            ("system calls that failed", self.system_calls.injected()),
             ("lateness granted, ms", most_granted / 1000),
         ]);
         Verdict { broken: told, coverage }
--- a/crates/fleet/src/soak/process.rs
+++ b/crates/fleet/src/soak/process.rs
@@ -34,11 +34,16 @@
 }
 
 impl Process {
-    /// Starts a node with a configuration, which is written to a file; returns once it listens.
-    pub fn start(program: &Path, configuration: &str, file: PathBuf) -> io::Result<Process> {
+    /// Starts a node with a configuration, which is written to a file, and an environment; returns once it listens.
+    pub fn start(
+        program: &Path,
+        configuration: &str,
+        file: PathBuf,
+        environment: &[(&'static str, String)],
+    ) -> io::Result<Process> {
         fs::write(&file, configuration)?;
         let mut command = Command::new(program);
-        command.env_clear().env("EDGE_CONFIG", file).stderr(Stdio::piped());
+        command.env_clear().envs(environment.iter().cloned()).env("EDGE_CONFIG", file).stderr(Stdio::piped());
         let mut child = command.spawn()?;
         let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
         let (ready, listens) = mpsc::channel();
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -303,6 +303,14 @@
     Some((words, None))
 }
 
+/// The library that makes a node's system calls fail; it is built beside the tests.
+pub fn fault_library() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let library = test.with_file_name("liblilacquay_syscall_faults.so");
+    assert!(library.exists(), "{}", library.display());
+    library
+}
+
 /// A process that is ended with its test.
 pub struct Running(pub Child);
 
--- a/crates/lilacquay/tests/soak.rs
+++ b/crates/lilacquay/tests/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! `SOAK_SEEDS=1..61 cargo test -p lilacquay --test soak -- --nocapture` runs more seeds than the few of CI.
 
-use std::path::Path;
+mod common;
 
 use lilacquay_fleet::soak;
 
@@ -22,11 +22,11 @@
 fn the_invariants_hold_while_faults_overlap() {
     // Another program, such as an earlier version, shows whether the soak sees what it was grown for.
     let program = std::env::var("SOAK_PROGRAM").unwrap_or_else(|_| env!("CARGO_BIN_EXE_lilacquay").into());
-    let program = Path::new(&program);
+    let program = soak::Program { path: program.into(), fault_library: Some(common::fault_library()) };
     let mut failed = Vec::new();
     for seed in seeds() {
         let folder = tempfile::tempdir().unwrap();
-        let verdict = soak::play(program, folder.path(), seed).unwrap();
+        let verdict = soak::play(&program, folder.path(), seed).unwrap();
         println!("seed {seed}: {:?}, broken: {}", verdict.coverage, verdict.broken.len());
         verdict.broken.iter().take(TOLD).for_each(|what| println!("  {what}"));
         if !verdict.broken.is_empty() || !verdict.served_enough() {
--- a/crates/lilacquay/tests/system_calls.rs
+++ b/crates/lilacquay/tests/system_calls.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::path::PathBuf;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -30,12 +29,6 @@
     folder: tempfile::TempDir,
 }
 
-/// The library that makes calls fail; it is built beside the tests.
-fn library() -> PathBuf {
-    let tests = std::env::current_exe().unwrap();
-    tests.with_file_name("liblilacquay_syscall_faults.so")
-}
-
 impl Faulty {
     /// Rules as the library's page has them; the switch is off.
     fn new(rules: &str) -> Faulty {
@@ -50,8 +43,7 @@
     }
 
     fn in_folder(rules: &str, folder: tempfile::TempDir) -> Faulty {
-        let (library, at) = (library(), folder.path().display());
-        assert!(library.exists(), "{}", library.display());
+        let (library, at) = (fault_library(), folder.path().display());
         let shell = format!(
             "LD_PRELOAD={} SYSCALL_FAULTS='{rules}' SYSCALL_FAULTS_SWITCH={at}/on SYSCALL_FAULTS_LOG={at}/log exec \"$0\"",
             library.display()
--- a/crates/syscall-faults/src/lib.rs
+++ b/crates/syscall-faults/src/lib.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// Whether a socket is one of the internet's. Others stay as they are: the runtime hears of signals by a pair of its own,
+/// and ends the process where reading that fails, which Linux's calls that do not wait never do.
+fn is_internet(fd: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    // SAFETY: the call writes a number of that length at most.
+    let done = unsafe {
+        libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_DOMAIN, (&raw mut domain).cast(), &raw mut length)
+    };
+    done == 0 && domain == libc::AF_INET
+}
+
+/// The fault that this call on a socket meets, if any.
+fn fault_at(fd: c_int, call: Call) -> Option<Fault> {
+    if is_internet(fd) { fault(call) } else { None }
+}
+
 /// The fault that this call meets, if any.
 fn fault(call: Call) -> Option<Fault> {
     let script = SCRIPT.get_or_init(|| {
@@ -102,7 +119,7 @@
     length: *mut socklen_t,
     flags: c_int,
 ) -> c_int {
-    match fault(Call::Accept) {
+    match fault_at(fd, Call::Accept) {
         Some(Fault::Errno(errno)) => fails(errno),
         // SAFETY: the caller's arguments.
         _ => unsafe { hidden!(c"accept4" as Accept)(fd, addr, length, flags) },
@@ -113,7 +130,8 @@
 /// As for socket(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
-    match fault(Call::Socket) {
+    let met = if domain == libc::AF_INET { fault(Call::Socket) } else { None };
+    match met {
         Some(Fault::Errno(errno)) => fails(errno),
         // SAFETY: the caller's arguments.
         _ => unsafe { hidden!(c"socket" as Socket)(domain, kind, protocol) },
@@ -124,7 +142,7 @@
 /// As for connect(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn connect(fd: c_int, addr: *const sockaddr, length: socklen_t) -> c_int {
-    match fault(Call::Connect) {
+    match fault_at(fd, Call::Connect) {
         Some(Fault::Errno(errno)) => fails(errno),
         // SAFETY: the caller's arguments.
         _ => unsafe { hidden!(c"connect" as Connect)(fd, addr, length) },
@@ -135,7 +153,7 @@
 /// As for recv(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, bytes: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
-    let length = match fault(Call::Receive) {
+    let length = match fault_at(fd, Call::Receive) {
         Some(Fault::Errno(errno)) => return fails(errno) as ssize_t,
         Some(Fault::Short) => length.min(SHORT),
         _ => length,
@@ -148,7 +166,7 @@
 /// As for send(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
-    let length = match fault(Call::Send) {
+    let length = match fault_at(fd, Call::Send) {
         Some(Fault::Errno(errno)) => return fails(errno) as ssize_t,
         Some(Fault::Short) => length.min(SHORT),
         _ => length,
@@ -161,7 +179,7 @@
 /// As for writev(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn writev(fd: c_int, slices: *const iovec, count: c_int) -> ssize_t {
-    match fault(Call::Send) {
+    match fault_at(fd, Call::Send) {
         Some(Fault::Errno(errno)) => fails(errno) as ssize_t,
         // SAFETY: the caller's arguments, and the first slice of them alone.
         Some(Fault::Short) if count > 0 => unsafe {
@@ -178,7 +196,7 @@
 /// As for sendmsg(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn sendmsg(fd: c_int, message: *const msghdr, flags: c_int) -> ssize_t {
-    match fault(Call::Send) {
+    match fault_at(fd, Call::Send) {
         Some(Fault::Errno(errno)) => fails(errno) as ssize_t,
         // SAFETY: the caller's arguments.
         _ => unsafe { hidden!(c"sendmsg" as SendMessage)(fd, message, flags) },
