--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -31,7 +31,7 @@
 use run_delay::RunDelays;
 use system_calls::SystemCallFaults;
 
-pub use system_calls::Program;
+pub use system_calls::{CALLS_FAIL_EVERY, Program};
 
 /// Nodes of one site.
 const NODES: usize = 24;
