Decide in a module without I/O what follows an accept that failed

Change: accept_policy.rs decides it, with times handed in; both loops ask it. What is done is unchanged but that a shortage as the listener closes counts from its first failure, not from the listener's close.

--- a/crates/fronts/src/acceptor.rs
+++ b/crates/fronts/src/acceptor.rs
@@ -1,10 +1,10 @@
 //! Listeners, and the bounds that hold for the clients of all of them together.
 
-use std::io::{self, ErrorKind};
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lilacquay_core::{Requests, is_own_shortage};
+use lilacquay_core::Requests;
 use lilacquay_life::Bearing;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -12,17 +12,14 @@
 use tokio::time::{Instant, timeout};
 use tracing::warn;
 
+use crate::accept_policy::{AcceptFailure, AcceptPolicy, AcceptStep};
 use crate::door::{Goes, Micros, goes};
 use crate::protocol::Protocol;
 use crate::session::Session;
 use crate::shared::{Bounds, Shared};
 
-/// No more connections than this wait to be accepted.
-const BACKLOG: usize = 1024;
 /// After an accept that failed, for want of descriptors say.
 const PAUSE: Duration = Duration::from_millis(5);
-/// Connections that wait to be accepted at the end are taken for so long at most.
-const LAST_LOOK: Duration = Duration::from_millis(100);
 
 /// What the connections of all fronts share. Cheap to clone.
 #[derive(Clone)]
@@ -57,23 +54,22 @@
 
     /// Takes the connections that wait to be accepted, and none beyond. The kernel is asked itself: the runtime, woken by
     /// a timer or a signal, may not have heard of them.
-    ///
-    /// Guards against: connections behind one that fails, reset with their requests.
     async fn take_waiting<P: Protocol>(&self, listener: TcpListener, protocol: &impl Fn() -> P) {
         let Ok(listener) = listener.into_std() else { return };
-        let (start, mut taken) = (Instant::now(), 0);
-        while taken < BACKLOG && start.elapsed() < LAST_LOOK {
-            match listener.accept() {
+        let mut policy = AcceptPolicy::closing(Instant::now());
+        loop {
+            let step = match listener.accept() {
                 Ok((stream, _)) => {
-                    taken += 1;
                     self.attend_accepted(stream, protocol());
+                    policy.accepted(Instant::now())
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if is_own_shortage(&error) => self.accept_ran_short(&error, start).await,
-                Err(error) => one_has_failed(&error).await,
+                Err(error) => failed(&mut policy, &error),
+            };
+            match step {
+                AcceptStep::Close => return,
+                step => self.prepare(step).await,
             }
         }
-        warn!(taken, "connections may be left that waited to be accepted");
     }
 
     fn attend_accepted<P: Protocol>(&self, stream: std::net::TcpStream, protocol: P) {
@@ -83,22 +79,13 @@
         }
     }
 
-    /// After an accept that failed since this machine lacks something: makes room, since then, for the next.
-    ///
-    /// Guards against: an exit, or a busy loop, when descriptors run out; and clients closed on for want of what is there
-    /// again a moment later.
-    async fn accept_ran_short(&self, error: &io::Error, since: Instant) {
-        warn!("accept: {error}");
-        self.make_room(goes(true, since.elapsed().as_micros() as Micros)).await;
-    }
-
     fn attend<P: Protocol>(&self, stream: TcpStream, protocol: P) {
         let session = Session::new(self.0.clone(), protocol);
         self.0.sessions.spawn(session.run(stream));
     }
 
     async fn take<P: Protocol>(&self, listener: &TcpListener, protocol: &impl Fn() -> P) {
-        let mut short_since = None;
+        let mut policy = AcceptPolicy::default();
         loop {
             // Guards against: clients that leave no descriptors for the servers, and crowds of silent ones
             // that keep the usual ones out. Beyond the limit each newcomer takes the place of another. What
@@ -106,17 +93,22 @@
             self.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    short_since = None;
+                    policy.accepted(Instant::now());
                     self.attend(stream, protocol());
                 }
-                Err(error) if is_own_shortage(&error) => {
-                    self.accept_ran_short(&error, *short_since.get_or_insert_with(Instant::now)).await;
-                }
-                Err(error) => one_has_failed(&error).await,
+                Err(error) => self.prepare(failed(&mut policy, &error)).await,
             }
         }
     }
 
+    /// Makes what the next accept needs; others have their turn meanwhile.
+    async fn prepare(&self, step: AcceptStep) {
+        match step {
+            AcceptStep::MakeRoom(goes) => _ = self.make_room(goes).await,
+            AcceptStep::Again | AcceptStep::Close => yield_now().await,
+        }
+    }
+
     /// Waits until there is room for one more.
     ///
     /// In company one goes for one that comes, at most: a part of the bounds that has become smaller than what it holds
@@ -152,8 +144,11 @@
     }
 }
 
-/// After an accept that failed for the one connection: its client has gone, say.
-async fn one_has_failed(error: &io::Error) {
-    warn!("accept: {error}");
-    yield_now().await;
+/// What follows an accept that failed.
+fn failed(policy: &mut AcceptPolicy, error: &io::Error) -> AcceptStep {
+    let failure = AcceptFailure::from(error);
+    if failure != AcceptFailure::NoneWaits {
+        warn!("accept: {error}");
+    }
+    policy.failed(failure, Instant::now())
 }
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -4,6 +4,7 @@
 //! front: the [`Acceptor`] takes connections of any number of listeners and bounds them together, and a session
 //! for each connection reads, opens requests at the core, writes the answers in order and knows when to part.
 
+pub mod accept_policy;
 mod acceptor;
 pub mod close_policy;
 pub mod close_reason;
