Listen with a backlog that a crowd does not fill while the node is held up

The node listened with the runtime's backlog of 128, where the code reckoned with 1,024; a crowd of 150 that comes while the node is slow for a moment fills it, the kernel drops who comes then and tries again after a second, and the node takes the request for a new one. It is the class of the root cause: heard of is not come.

Change: the node's own listeners have the backlog that the code reckons with. A socket that a platform passes keeps the platform's.

--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -11,13 +11,14 @@
 use lilacquay_etcd::Settings;
 use lilacquay_figures::Book;
 use lilacquay_fronts::Acceptor;
+use lilacquay_fronts::accept_policy::BACKLOG;
 use lilacquay_fronts::resp::Resp;
 use lilacquay_life::Event;
 use lilacquay_members::{discovery, etcd};
 use lilacquay_replica::words::OwnList;
 use lilacquay_upstreams::Servers;
 use paddlefold::setup::Names;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -77,10 +78,10 @@
     let steered = state.as_ref().map(Folder::orders).transpose().map_err(of_state)?;
     let listener = match &config.passed {
         Some(passed) => TcpListener::from_std(passed.listener(config.listen)?)?,
-        None => bind(config.listen).await?,
+        None => bind(config.listen)?,
     };
     let second = match config.admin {
-        Some(address) => Some(bind(address).await?),
+        Some(address) => Some(bind(address)?),
         None => None,
     };
     let keeper = Keeper::new(Duration::from_micros(config.setup.longest_deadline), config.passed.is_some());
@@ -134,7 +135,7 @@
     let acceptor = Acceptor::new(requests, config.client_bounds(gauges.clone(), portion), keeper.bearing());
     let mut fronts = Vec::new();
     for listener in config.memcached.iter().flat_map(|(_, ready)| &ready.listeners) {
-        fronts.push((bind(listener.address).await?, listener));
+        fronts.push((bind(listener.address)?, listener));
     }
     let mut driver = AbortOnDropHandle::new(tokio::spawn(driver.run()));
     let (to_node, commands) = mpsc::channel(COMMANDS);
@@ -232,9 +233,21 @@
     io::Error::new(error.kind(), format!("the state folder can't be used: {error}; {mend}"))
 }
 
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let error = |e: io::Error| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}"));
-    TcpListener::bind(address).await.map_err(error)
+    listen(address).map_err(error)
+}
+
+/// Guards against: a crowd that finds the runtime's backlog of 128 full while the node is held up. The kernel drops such
+/// connections and tries again after a second, of which the node knows nothing.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 /// A number that no other process has, as good as surely: another node's seed is another, and so is the time of
--- a/crates/lilacquay/tests/deadlines.rs
+++ b/crates/lilacquay/tests/deadlines.rs
@@ -130,6 +130,19 @@
     assert_eq!(client.answer().as_deref(), Some("v"));
 }
 
+/// The kernel drops connections that find no place in a listener's backlog, and the node can't know that they come late.
+#[test]
+fn a_connection_of_a_crowd_came_up_late_since_the_backlog_was_short_while_the_node_was_held_up() {
+    const CROWD: usize = 400;
+    let site = Site::new(SETTINGS);
+    site.node.ping_once();
+    site.node.signal("-STOP"); // held up, as the machine may do for 0.15 s
+    let connect = |_| TcpStream::connect_timeout(&site.node.addr(), RETRANSMIT / 2);
+    let crowd: Vec<_> = (0..CROWD).map_while(|n| connect(n).ok()).collect();
+    site.node.signal("-CONT");
+    assert_eq!(crowd.len(), CROWD, "came up at once");
+}
+
 /// The kernel writes bytes again after this time where the first were dropped.
 const REPEATED: Duration = Duration::from_millis(200);
 
