--- a/review/2/case.py
+++ b/review/2/case.py
@@ -51,7 +51,7 @@
 def resident_mb(pid):
     with open(f"/proc/{pid}/status", encoding="utf-8") as status:
         for line in status:
-            if line.startswith("VmRSS"):
+            if line.startswith("RssAnon"):  # the program's own pages, which come from its file, are left out
                 return int(line.split()[1]) / 1024
     return 0.0
 
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
@@ -19,7 +20,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 START = time.monotonic()
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # run.sh makes 1 of BROKEN, and 2 of whatever else Python may end with
 
 
 class NotRun(Exception):
@@ -49,6 +50,11 @@
     return sock
 
 
+def end_with_parent():
+    """Has the system kill a child when this script ends in whatever way (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 def free_port():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -282,8 +288,9 @@
         self.log = open(self.folder / "log.txt", "wb")
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", deploy["run"], cwd=ROOT, env=environment, stdin=asyncio.subprocess.DEVNULL,
-            stdout=self.log, stderr=self.log)
-        self.record("platform", f"started the node as process {self.process.pid}, listen {self.listen}")
+            stdout=self.log, stderr=self.log, preexec_fn=end_with_parent)
+        self.record("platform", f"started the node as process {self.process.pid}, listen {self.listen}, "
+                                f"seed {self.config['seed']}")
         for _ in range(300):
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -333,6 +340,7 @@
     def __init__(self, name, record, port):
         self.name, self.record, self.port = name, record, port
         self.reader = self.writer = None
+        self.served = False  # whether the last answer was a bulk string that is not null
 
     async def connect(self):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port, limit=1 << 23)
@@ -347,7 +355,8 @@
     async def answer(self):
         """Reads one answer: a bulk string's bytes, or a line."""
         line = await self.reader.readuntil(b"\r\n")
-        if line[:1] == b"$" and line != b"$-1\r\n":
+        self.served = line[:1] == b"$" and line != b"$-1\r\n"
+        if self.served:
             return (await self.reader.readexactly(int(line[1:]) + 2))[:-2]
         return line.strip()
 
@@ -369,6 +378,10 @@
             for platform in to_end:
                 await platform.end()
 
+    def told_to_end(*_):
+        raise NotRun("it was told to end")
+
+    signal.signal(signal.SIGTERM, told_to_end)
     try:
         held = asyncio.run(play())
         code = HELD if held else BROKEN
@@ -382,4 +395,5 @@
     text = {HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "the case could not run"}[code]
     record("case", f"{text}; exit code {code}")
     print(text)
+    sys.stdout.flush()
     sys.exit(code)
