--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,8 +10,8 @@
 import standins as s  # noqa: E402
 
 BAD_CLIENTS = int(os.environ.get("BAD_CLIENTS", "6"))
-BAD_VALUE = 4 << 20  # "values reach 4 MiB"
-SENT_BEFORE_STOP = 64 << 10
+BAD_VALUE = int(os.environ.get("BAD_VALUE", str(4 << 20)))  # "values reach 4 MiB"
+SENT_BEFORE_STOP = min(64 << 10, BAD_VALUE // 2)
 SOUND_WRITES = 6
 SOUND_VALUE = 16 << 10  # "values hold at most 64 KiB"
 TRY_MS = 1400  # a try is given up after 30 to 55% of the 4 s of the class
@@ -20,7 +20,7 @@
 
 
 async def case(record, to_end):
-    caches = [await s.Cache(f"cache-{n}", record).start() for n in range(3)]
+    caches = [await s.Cache(f"cache-{n}", record, work=0.06).start() for n in range(3)]
     origin = await s.Origin("origin", record).start()
     discovery = await s.Discovery("discovery", record).start()
     discovery.list(*[s.entry(cache.name, cache.addr) for cache in caches],
