Measure who holds and awaits buffer memory, and count closes by their reason

Change: gauges of bytes granted and awaited for large buffers, commands that wait and the longest wait, a debug line for each wait and each grant with its length, and a counter of closed connections for each reason.

No behaviour changes.

--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -83,6 +83,11 @@
         Ok(PendingAnswer { id, answer, answered: false, driver, open_id, _reservation: reservation })
     }
 
+    /// The metrics of the node.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Counts a request that was answered as failed before it was opened.
     pub fn record_failed_before_open(&self, class: Option<usize>) {
         self.metrics.request_started();
--- a/crates/fronts/src/close_reason.rs
+++ b/crates/fronts/src/close_reason.rs
@@ -27,6 +27,21 @@
 }
 
 impl CloseReason {
+    /// The name of the reason in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientDisconnected => "client_disconnected",
+            CloseReason::ClientNotReading => "client_not_reading",
+            CloseReason::ClientQuit => "client_quit",
+            CloseReason::MalformedCommand => "malformed_command",
+            CloseReason::CommandTimeout => "command_timeout",
+            CloseReason::ShuttingDown => "shutting_down",
+            CloseReason::ProcessEnding => "process_ending",
+            CloseReason::Evicted => "evicted",
+            CloseReason::ValueTruncated => "value_truncated",
+        }
+    }
+
     /// Whether the client itself forfeited its remaining answers.
     pub fn is_client_side(self) -> bool {
         matches!(self, CloseReason::ClientDisconnected | CloseReason::ClientNotReading)
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept_policy;
 mod acceptor;
+mod buffer_permits;
 pub mod close_policy;
 pub mod close_reason;
 mod evictable_connections;
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -6,9 +6,10 @@
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, PendingAnswer, Requests, ValueStream};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout};
 
+use crate::buffer_permits::BufferPermit;
+
 /// How long a large value ahead of other responses is buffered. From then on it is forwarded as it arrives, since a
 /// client may not be prepared to wait 2 s for the rest of the value from the server.
 const VALUE_BUFFERING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -31,7 +32,7 @@
     /// What is kept of the command to format its answer.
     pub context: R,
     /// The buffer permits of a long command, released once it is answered.
-    pub _permits: Option<OwnedSemaphorePermit>,
+    pub _permits: Option<BufferPermit>,
 }
 
 /// A large value, as far as it has arrived.
@@ -49,17 +50,12 @@
     pending: PendingAnswer,
     value: LargeValue<R>,
     until: Instant,
-    _permits: OwnedSemaphorePermit,
+    _permits: BufferPermit,
 }
 
 impl<R> BufferedValue<R> {
     /// Starts to buffer a value under these permits.
-    pub fn new(
-        pending: PendingAnswer,
-        context: R,
-        value_stream: ValueStream,
-        permits: OwnedSemaphorePermit,
-    ) -> Self {
+    pub fn new(pending: PendingAnswer, context: R, value_stream: ValueStream, permits: BufferPermit) -> Self {
         let value = LargeValue { context, value_stream, buffered: BytesMut::new() };
         BufferedValue { pending, value, until: Instant::now() + VALUE_BUFFERING_TIMEOUT, _permits: permits }
     }
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -9,11 +9,11 @@
 use lilacquay_stream::Stream;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
+use crate::buffer_permits::BufferPermit;
 use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, LongCommand, may_read, times_out_at};
 use crate::close_reason::CloseReason;
 use crate::evictable_connections::{Activity, EvictableConnection};
@@ -45,7 +45,7 @@
     protocol: P,
     buffer: BytesMut,
     /// The permits of a buffer that is not small.
-    buffer_permits: Option<OwnedSemaphorePermit>,
+    buffer_permits: Option<BufferPermit>,
     /// The length of the arriving command in bytes, as far as it is known; 0 while the buffer is small.
     expected_length: usize,
     last_read_at: Instant,
@@ -109,6 +109,7 @@
         let reason = self.serve(&stream).await.unwrap_or_else(CloseReason::from);
         let (owed, unread) = (self.responses.len(), self.buffer.len());
         debug!(?peer, owed, unread, "client connection closed: {reason}");
+        self.shared.requests.metrics().connection_closed(reason.name());
         if reason.is_client_side() {
             self.responses.clear(); // the client has given up these answers itself: `drop` does not report them
         }
@@ -272,13 +273,11 @@
             false => self.protocol.expected_length(&self.buffer).min(P::MAX_COMMAND_BYTES),
         };
         let permits = self.expected_length.max(self.buffer.len()).div_ceil(BYTES_PER_PERMIT);
-        u32::try_from(permits).unwrap_or(u32::MAX).clamp(1, self.shared.total_permits)
+        u32::try_from(permits).unwrap_or(u32::MAX).clamp(1, self.shared.buffer_permits.total())
     }
 
     fn permits_held(&self) -> u32 {
-        self.buffer_permits
-            .as_ref()
-            .map_or(0, |permits| u32::try_from(permits.num_permits()).unwrap_or(u32::MAX))
+        self.buffer_permits.as_ref().map_or(0, BufferPermit::count)
     }
 
     fn activity(&self) -> Activity {
@@ -360,7 +359,7 @@
             return LargeValueStart::Forward(LargeValue { context, value_stream, buffered: BytesMut::new() });
         }
         let permits = u32::try_from(value_stream.length().div_ceil(BYTES_PER_PERMIT)).unwrap_or(u32::MAX);
-        let Ok(permits) = self.shared.buffer_permits.clone().try_acquire_many_owned(permits) else {
+        let Some(permits) = self.shared.buffer_permits.try_acquire(permits) else {
             self.write_answer(context, Answer::Failed, text);
             return LargeValueStart::Failed;
         };
--- a/crates/fronts/src/shared.rs
+++ b/crates/fronts/src/shared.rs
@@ -5,9 +5,10 @@
 
 use lilacquay_core::{Gauges, MAX_BUFFERED_VALUE_BYTES, Requests, ResourceShare};
 use lilacquay_lifecycle::ServiceMode;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
+use crate::buffer_permits::BufferPermits;
 use crate::evictable_connections::EvictableConnections;
 
 /// Bytes of large buffers that one permit stands for: most commands that need a large buffer need one permit.
@@ -44,9 +45,7 @@
     /// Notified whenever a session has ended.
     pub(crate) session_ended: Notify,
     /// Permits for large buffers, of [`BYTES_PER_PERMIT`] bytes each.
-    pub(crate) buffer_permits: Arc<Semaphore>,
-    /// The total number of buffer permits.
-    pub(crate) total_permits: u32,
+    pub(crate) buffer_permits: BufferPermits,
     /// Whether the node accepts connections, and when it closes those it has.
     pub(crate) service_mode: watch::Receiver<ServiceMode>,
     pub(crate) sessions: TaskTracker,
@@ -54,8 +53,7 @@
 
 impl SharedState {
     pub fn new(requests: Requests, limits: ClientLimits, service_mode: watch::Receiver<ServiceMode>) -> Self {
-        let total_permits = u32::try_from(limits.buffer_bytes / BYTES_PER_PERMIT).unwrap_or(u32::MAX).max(1);
-        let buffer_permits = Arc::new(Semaphore::new(total_permits as usize));
+        let buffer_permits = BufferPermits::new(limits.buffer_bytes, requests.metrics().buffers());
         // Clients may hold a third of the descriptors. A quarter of that is kept free of connections that rest between
         // requests, so that clients can open further ones.
         let evictable_connections = Arc::new(EvictableConnections::new((limits.connections * 3 / 4).max(1)));
@@ -66,7 +64,6 @@
             evictable_connections,
             session_ended,
             buffer_permits,
-            total_permits,
             service_mode,
             sessions,
         }
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -4,7 +4,6 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Poll, ready};
 use std::time::Duration;
 
@@ -12,10 +11,11 @@
 use lilacquay_core::stall;
 use lilacquay_stream::Stream;
 use tokio::io::{AsyncWriteExt, Interest};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::io::poll_read_buf;
 
+use crate::buffer_permits::{BufferPermit, BufferPermits};
+
 /// The least capacity reserved for a read: most commands arrive complete in one read.
 const MIN_READ_CAPACITY: usize = 1 << 10;
 /// How often a socket with unread input is checked for a close by the client, which is hence noticed within this time.
@@ -47,7 +47,7 @@
     /// The number of bytes read; 0 at the end of the stream.
     Bytes(usize),
     /// Buffer permits for a long command, and when more of it was first there to be read.
-    Permits(OwnedSemaphorePermit, Instant),
+    Permits(BufferPermit, Instant),
 }
 
 /// Reads commands; if permits are wanted, acquires them instead, and the next call reads. If `may_read` is false, only
@@ -57,7 +57,7 @@
     buffer: &mut BytesMut,
     expected_length: usize,
     permits_wanted: Option<u32>,
-    buffer_permits: &Arc<Semaphore>,
+    buffer_permits: &BufferPermits,
     may_read: bool,
     unread_since: &mut Option<Instant>,
 ) -> io::Result<Received> {
@@ -90,14 +90,14 @@
     buffer: &mut BytesMut,
     expected_length: usize,
     permits_wanted: Option<u32>,
-    buffer_permits: &Arc<Semaphore>,
+    buffer_permits: &BufferPermits,
 ) -> io::Result<Received> {
     let Some(permits) = permits_wanted else {
         return read(reader, buffer, expected_length).await.map(Received::Bytes);
     };
     reader.peek(&mut [0]).await?;
     let readable_since = stall::estimated_arrival(Instant::now());
-    let acquired = buffer_permits.clone().acquire_many_owned(permits).await.map_err(io::Error::other)?;
+    let acquired = buffer_permits.acquire(permits).await?;
     Ok(Received::Permits(acquired, readable_since))
 }
 
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -5,6 +5,7 @@
 //! values are exported as StatsD-style lines ([`Metrics::statsd_lines`]) or in Prometheus' text format
 //! ([`Metrics::prometheus`]).
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
@@ -117,6 +118,56 @@
     }
 }
 
+/// Use of the memory for long commands and large values of clients. Cheap to clone.
+#[derive(Clone, Default)]
+pub struct BufferMetrics {
+    /// Bytes granted and not released.
+    pub granted_bytes: Gauge,
+    /// Bytes that commands wait for.
+    pub awaited_bytes: Gauge,
+    /// Commands that wait for memory.
+    pub waiting_commands: Gauge,
+    /// The longest wait for memory since the start, in milliseconds.
+    pub longest_wait_ms: Gauge,
+}
+
+impl BufferMetrics {
+    /// The gauges with their names and descriptions.
+    fn gauges(&self) -> [(&'static str, &'static str, &Gauge); 4] {
+        [
+            ("buffer_granted_bytes", "Bytes granted for long commands and large values", &self.granted_bytes),
+            ("buffer_awaited_bytes", "Bytes that long commands wait for", &self.awaited_bytes),
+            ("buffer_waiting_commands", "Long commands that wait for memory", &self.waiting_commands),
+            ("buffer_longest_wait_ms", "Longest wait for memory since the start", &self.longest_wait_ms),
+        ]
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CloseLabels {
+    reason: &'static str,
+}
+
+/// Counts closed client connections by the reason.
+#[derive(Clone, Default)]
+struct CloseCounters {
+    family: Family<CloseLabels, Counter>,
+    by_reason: Arc<Mutex<BTreeMap<&'static str, Counter>>>,
+}
+
+impl CloseCounters {
+    fn increment(&self, reason: &'static str) {
+        let mut by_reason = self.by_reason.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = || self.family.get_or_create_owned(&CloseLabels { reason });
+        by_reason.entry(reason).or_insert_with(new).inc();
+    }
+
+    fn counts(&self) -> Vec<(&'static str, u64)> {
+        let by_reason = self.by_reason.lock().unwrap_or_else(PoisonError::into_inner);
+        by_reason.iter().map(|(reason, counter)| (*reason, counter.get())).collect()
+    }
+}
+
 /// The metrics of a node. Clones share their values.
 #[derive(Clone)]
 pub struct Metrics(Arc<Inner>);
@@ -129,6 +180,8 @@
     attempts: Counter,
     withheld: Counter,
     violations: ViolationCounters,
+    buffers: BufferMetrics,
+    closes: CloseCounters,
     in_progress: Gauge,
     known: Gauge,
     skipped: Gauge,
@@ -182,6 +235,11 @@
         let counter = |rule: Rule| violations_by_rule.get_or_create_owned(&RuleLabels { rule: rule.name() });
         let violations = ViolationCounters(Arc::new(Rule::ALL.map(counter)));
         registry.register("violations", "Rules that the node itself saw broken", violations_by_rule.clone());
+        let (buffers, closes) = (BufferMetrics::default(), CloseCounters::default());
+        for (name, help, gauge) in buffers.gauges() {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register("closes", "Client connections closed, by reason", closes.family.clone());
         registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
         registry.register("known_cache_servers", "Caches in the list", known.clone());
         registry.register("skipped_cache_servers", "Listed caches that are avoided now", skipped.clone());
@@ -192,6 +250,8 @@
             attempts,
             withheld,
             violations,
+            buffers,
+            closes,
             in_progress,
             known,
             skipped,
@@ -235,6 +295,16 @@
         self.0.violations.clone()
     }
 
+    /// The gauges of the memory for long commands and large values.
+    pub fn buffers(&self) -> BufferMetrics {
+        self.0.buffers.clone()
+    }
+
+    /// Counts a closed client connection under this reason. A reason is exported once it has occurred.
+    pub fn connection_closed(&self, reason: &'static str) {
+        self.0.closes.increment(reason);
+    }
+
     /// Sets the number of caches in the list, and of those that are currently avoided.
     pub fn set_cache_counts(&self, known: usize, skipped: usize) {
         self.0.known.set(known as i64);
@@ -316,6 +386,12 @@
             let count = self.0.violations.total(rule) as i64;
             put_line(&mut text, format_args!("violations.{}", rule.name()), count, 'c');
         }
+        for (reason, count) in self.0.closes.counts() {
+            put_line(&mut text, format_args!("closes.{reason}"), count as i64, 'c');
+        }
+        for (name, _, gauge) in self.0.buffers.gauges() {
+            put_line(&mut text, format_args!("{name}"), gauge.get(), 'g');
+        }
         put_line(&mut text, format_args!("in_progress"), self.0.in_progress.get(), 'g');
         put_line(&mut text, format_args!("known_cache_servers"), self.0.known.get(), 'g');
         put_line(&mut text, format_args!("skipped_cache_servers"), self.0.skipped.get(), 'g');
@@ -405,6 +481,20 @@
         assert!(text.contains("lilacquay_violations_total{rule=\"closed_unanswered\"} 1"), "{text}");
     }
 
+    #[test]
+    fn closes_are_counted_by_reason_and_buffers_are_exported() {
+        let metrics = Metrics::new(Vec::new());
+        assert!(!metrics.statsd_lines().contains("closes"));
+        metrics.connection_closed("evicted");
+        metrics.connection_closed("evicted");
+        metrics.buffers().granted_bytes.set(4096);
+        let (lines, text) = (metrics.statsd_lines(), metrics.prometheus());
+        assert!(lines.contains("edge_edge.closes.evicted:2|c\n"), "{lines}");
+        assert!(lines.contains("edge_edge.buffer_granted_bytes:4096|g\n"), "{lines}");
+        assert!(text.contains("lilacquay_closes_total{reason=\"evicted\"} 2"), "{text}");
+        assert!(text.contains("lilacquay_buffer_granted_bytes 4096"), "{text}");
+    }
+
     #[test]
     fn gauges_of_other_nodes_are_exported_once_they_are_set() {
         let metrics = Metrics::new(Vec::new());
