Serve writes beside clients that stop in the middle of a long write

What callers saw: with six clients that had sent 64 KiB of a write of 4 MiB and stayed, no write of over 8 KiB was read for 2.4 s. Whole writes were answered -BUSY up to a second after their time, or, with twelve, -ERR no whole command.

Cause: a command took permits for the length that its header announced, kept them while its client was silent, and waiters were served strictly in order, so that one that wanted much kept out those that wanted little. The wait had no bound by the client's time, the time-out of half commands ran on in it, and nobody watched for the client's close.

Large values that are collected before other answers draw on the same permits, so that they failed as well.

Change: buffer_pool.rs decides, without I/O or clock. Short commands (up to 128 KiB) have a quarter of the memory to themselves, and one whose rest lies in the socket is read without waiting. A reservation whose client is silent for 50 ms shrinks to what has come if others wait; after 250 ms it may be withdrawn. A command that gets no memory within 0.4 of its client's time, or whose client has stopped, is discarded as it comes and refused (-BUSY) once it is whole; it was never sent on, so that the refusal is true. Commands that wait watch for their client's close; where that could lie behind bytes that the kernel doesn't take and answers are owed, the wait ends after 60 ms. A long command is read 64 KiB at a time: a read zeroes all that it may fill, which had made all of a reservation resident at the first byte.

Why it works: memory is held only for bytes that have come, and whoever holds some and makes no progress loses it to the next. Nobody waits past his own time.

A test of the time-out of commands that wait is replaced: the wait has a bound of its own, which is tested, and time waited is added afterwards.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -188,6 +188,32 @@
     body.map_or(0, |body| HEADER_BYTES.saturating_add(u32::from_be_bytes(body) as usize))
 }
 
+/// A request whose value has not arrived whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartialRequest<'a> {
+    /// The code of the operation.
+    pub opcode: u8,
+    /// To be copied to the response.
+    pub opaque: u32,
+    /// The key.
+    pub key: &'a [u8],
+    /// The length of the whole packet in bytes.
+    pub length: usize,
+}
+
+/// Parses the part of a request before its value. None if that has not arrived.
+pub fn parse_partial_request(buffer: &[u8]) -> Option<PartialRequest<'_>> {
+    let mut header = buffer.get(..HEADER_BYTES)?;
+    header.advance(1);
+    let opcode = header.get_u8();
+    let (key_length, extras_length) = (header.get_u16() as usize, header.get_u8() as usize);
+    header.advance(7);
+    let opaque = header.get_u32();
+    let key_start = HEADER_BYTES + extras_length;
+    let key = buffer.get(key_start..key_start + key_length)?;
+    Some(PartialRequest { opcode, opaque, key, length: packet_length(buffer) })
+}
+
 /// The header of a response, which can be read before the body has been received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResponseHeader {
@@ -336,6 +362,19 @@
         assert!(outcomes.iter().all(|&n| n > 500), "too few of an outcome: {outcomes:?}");
     }
 
+    #[test]
+    fn a_partial_request_is_parsed_once_its_key_has_arrived() {
+        let (extras, key, value) =
+            (Bytes::from_static(&[0; 8]), Bytes::from_static(b"key"), Bytes::from_static(b"value"));
+        let packet = Packet { extras, key, value, ..Packet::new(Opcode::Set, 7) };
+        let mut bytes = BytesMut::new();
+        packet.put_request(&mut bytes);
+        let key_end = HEADER_BYTES + 8 + 3;
+        assert_eq!(parse_partial_request(&bytes[..key_end - 1]), None);
+        let partial = PartialRequest { opcode: 1, opaque: 7, key: b"key", length: bytes.len() };
+        assert_eq!(parse_partial_request(&bytes[..key_end]), Some(partial));
+    }
+
     #[test]
     fn invalid_lengths_are_rejected_by_the_header_alone() {
         let header = |key: u16, extras: u8, data_type: u8, body: u32| {
--- a/crates/codec/src/resp.rs
+++ b/crates/codec/src/resp.rs
@@ -44,6 +44,31 @@
     put_header(out, b'$', length);
 }
 
+/// A command whose last word has not arrived whole.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PartialCommand<'a> {
+    /// The words before the last.
+    pub words: Vec<&'a [u8]>,
+    /// The length of the whole command in bytes.
+    pub length: usize,
+}
+
+/// Parses the part of a command up to its last word, of which the header has arrived. None if that is not so.
+pub fn parse_partial_command(buffer: &[u8]) -> Option<PartialCommand<'_>> {
+    let mut rest = buffer;
+    let (b'*', word_count @ 1..) = read_element(&mut rest, true).ok()?? else { return None };
+    let mut words = Vec::new();
+    loop {
+        let (b'$', size) = read_element(&mut rest, false).ok()?? else { return None };
+        if words.len() + 1 == word_count {
+            return (rest.len() < size)
+                .then(|| PartialCommand { words, length: buffer.len() - rest.len() + size });
+        }
+        words.push(rest.get(..size.checked_sub(2)?)?);
+        rest = rest.get(size..)?;
+    }
+}
+
 /// Minimum length of the first frame in bytes, as far as the bytes received so far determine it.
 pub fn min_frame_length(buffer: &[u8], max_bytes: usize) -> usize {
     let mut min_length = 0;
@@ -193,6 +218,22 @@
         assert_eq!(min_frame_length(b"*2\r", 100), 0);
     }
 
+    #[test]
+    fn a_partial_command_is_parsed_once_the_header_of_its_last_word_has_arrived() {
+        let command = b"*3\r\n$3\r\nSET\r\n$1\r\nk\r\n$5\r\nvalue\r\n";
+        let header_end = command.len() - b"value\r\n".len();
+        for n in 0..header_end {
+            assert_eq!(parse_partial_command(&command[..n]), None, "{n} bytes");
+        }
+        let expected = PartialCommand { words: vec![b"SET", b"k"], length: command.len() };
+        for n in header_end..command.len() {
+            assert_eq!(parse_partial_command(&command[..n]).as_ref(), Some(&expected), "{n} bytes");
+        }
+        assert_eq!(parse_partial_command(command), None, "it is whole");
+        assert_eq!(parse_partial_command(b"*2\r\n$-1\r\n$5\r\nva"), None, "no word");
+        assert_eq!(parse_partial_command(b"$5\r\nva"), None, "no command");
+    }
+
     #[test]
     fn the_header_of_a_long_value_is_parsed_before_the_value_is_received() {
         let header = b"*3\r\n$70000\r\n";
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -88,10 +88,10 @@
         &self.metrics
     }
 
-    /// Counts a request that was answered as failed before it was opened.
-    pub fn record_failed_before_open(&self, class: Option<usize>) {
+    /// Counts a request that was answered before it was opened.
+    pub fn record_answered_before_open(&self, class: Option<usize>, outcome: RequestOutcome) {
         self.metrics.request_started();
-        self.metrics.request_ended(class, Some(RequestOutcome::Failed));
+        self.metrics.request_ended(class, Some(outcome));
     }
 
     /// Counts and logs a request whose connection is closed without an answer although its client has not
--- a/crates/fronts/src/close_policy.rs
+++ b/crates/fronts/src/close_policy.rs
@@ -60,8 +60,10 @@
 pub struct LongCommand {
     /// Its length in bytes.
     pub length: usize,
-    /// Whether it holds buffer permits; it waits for them otherwise.
-    pub has_permits: bool,
+    /// Whether it waits for memory. That wait has a bound of its own.
+    pub waits_for_memory: bool,
+    /// How long it has waited for memory.
+    pub waited: Duration,
 }
 
 /// Whether and when to close a connection.
@@ -158,13 +160,14 @@
         return None;
     }
     let usual = state.last_progress_at + COMMAND_TIMEOUT;
-    let Some(LongCommand { length, has_permits }) = state.long_command else { return Some(usual) };
-    // A long write must not time out while it keeps arriving or waits for permits, and one that trickles in must not hold
-    // its permits for long.
-    let latest = usual + Duration::from_secs_f64(length as f64 / MIN_LONG_COMMAND_BYTES_PER_SECOND as f64);
-    Some(if has_permits {
-        usual.max((state.last_read_at + MAX_LONG_COMMAND_PAUSE).min(latest))
-    } else {
-        latest
-    })
+    let Some(LongCommand { length, waits_for_memory, waited }) = state.long_command else {
+        return Some(usual);
+    };
+    if waits_for_memory {
+        return None;
+    }
+    // A long write must not time out while it keeps arriving, and one that trickles in must not hold its memory for long.
+    let transfer_time = Duration::from_secs_f64(length as f64 / MIN_LONG_COMMAND_BYTES_PER_SECOND as f64);
+    let latest = usual + transfer_time + waited;
+    Some(usual.max((state.last_read_at + MAX_LONG_COMMAND_PAUSE).min(latest)))
 }
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod accept_policy;
 mod acceptor;
-mod buffer_permits;
+mod arriving_command;
+mod buffer_memory;
+pub mod buffer_pool;
 pub mod close_policy;
 pub mod close_reason;
 mod evictable_connections;
@@ -20,5 +22,5 @@
 mod socket;
 
 pub use acceptor::Acceptor;
-pub use protocol::{CloseNotice, Malformed, ParsedCommand, Protocol, Refusal};
+pub use protocol::{CloseNotice, Malformed, ParsedCommand, PartialCommand, Protocol, Refusal};
 pub use shared::ClientLimits;
--- a/crates/fronts/src/memcache/mod.rs
+++ b/crates/fronts/src/memcache/mod.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use std::{process, str};
 
 use bytes::{Bytes, BytesMut};
@@ -19,7 +19,7 @@
     StoreOptions, Verb,
 };
 
-use crate::protocol::{CloseNotice, Malformed, ParsedCommand, Protocol, Refusal};
+use crate::protocol::{CloseNotice, Malformed, ParsedCommand, PartialCommand, Protocol, Refusal};
 use command_rules::{CommandRules, UnsupportedCas};
 use users::Users;
 
@@ -118,6 +118,20 @@
         memcache::packet_length(buffer)
     }
 
+    fn partial_command(&self, buffer: &[u8]) -> Option<PartialCommand<ReplyContext>> {
+        let request = memcache::parse_partial_request(buffer)?;
+        let opcode = Opcode::from_code(request.opcode)?;
+        let rule = str::from_utf8(request.key)
+            .ok()
+            .and_then(|key| self.frontend.rules.find(&self.frontend.name, self.user.as_deref(), key));
+        Some(PartialCommand {
+            length: request.length,
+            client_timeout: rule.map(|rule| Duration::from_micros(rule.client_timeout_us)),
+            class: rule.and_then(|rule| rule.write_class.as_ref()).map(|class| class.index),
+            context: ReplyContext { opcode, opaque: request.opaque, key: Bytes::new() },
+        })
+    }
+
     fn next_command(
         &mut self,
         buffer: &mut BytesMut,
--- a/crates/fronts/src/protocol.rs
+++ b/crates/fronts/src/protocol.rs
@@ -1,12 +1,14 @@
 //! The interface that every client-facing protocol implements.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call};
 
 /// One connection's protocol state machine, without I/O.
-pub trait Protocol: Send + 'static {
+pub trait Protocol: Send + Sync + 'static {
     /// What is kept of a command to format its answer.
-    type ReplyContext: Send + 'static;
+    type ReplyContext: Send + Sync + 'static;
 
     /// The longest command that is read to its end, if only to answer that it is too long, in bytes.
     const MAX_COMMAND_BYTES: usize;
@@ -19,6 +21,12 @@
     /// [`Protocol::MAX_COMMAND_BYTES`] for anything that can be a command.
     fn expected_length(&self, buffer: &[u8]) -> usize;
 
+    /// The first command, if it is incomplete and what has arrived of it tells its length and how to refuse it. The rest
+    /// of such a command can be discarded instead of buffered.
+    fn partial_command(&self, _buffer: &[u8]) -> Option<PartialCommand<Self::ReplyContext>> {
+        None
+    }
+
     /// Takes the first command out of the buffer, once it is complete.
     ///
     /// # Errors
@@ -51,6 +59,18 @@
     fn write_close_notice(&mut self, notice: CloseNotice, out: &mut BytesMut);
 }
 
+/// A command that has not arrived whole.
+pub struct PartialCommand<R> {
+    /// The length of the whole command in bytes.
+    pub length: usize,
+    /// How long its client waits for the answer, if that is known.
+    pub client_timeout: Option<Duration>,
+    /// Its class, if it has one.
+    pub class: Option<usize>,
+    /// For formatting the refusal.
+    pub context: R,
+}
+
 /// A complete command.
 pub enum ParsedCommand<R> {
     /// A request for the core.
--- a/crates/fronts/src/resp.rs
+++ b/crates/fronts/src/resp.rs
@@ -4,6 +4,7 @@
 //! idempotency key `k`.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::{fmt, str};
 
 use bytes::{Bytes, BytesMut};
@@ -13,7 +14,10 @@
 };
 use paddlefold::setup::Names;
 
-use crate::protocol::{CloseNotice, Malformed, ParsedCommand, Protocol, Refusal};
+use crate::protocol::{CloseNotice, Malformed, ParsedCommand, PartialCommand, Protocol, Refusal};
+
+/// The place of the facts among the words of a command.
+const FACTS_WORD: usize = 3;
 
 /// A connection that speaks RESP2.
 pub struct RespProtocol {
@@ -72,6 +76,14 @@
         resp::min_frame_length(buffer, Self::MAX_COMMAND_BYTES)
     }
 
+    fn partial_command(&self, buffer: &[u8]) -> Option<PartialCommand<()>> {
+        let resp::PartialCommand { words, length } = resp::parse_partial_command(buffer)?;
+        let facts = words.get(FACTS_WORD).copied().unwrap_or_default();
+        let client_timeout = fact(facts, "d").and_then(parse_timeout).map(Duration::from_micros);
+        let class = fact(facts, "c").and_then(|class| self.names.class(class));
+        Some(PartialCommand { length, client_timeout, class, context: () })
+    }
+
     fn next_command(&mut self, buffer: &mut BytesMut) -> Result<Option<ParsedCommand<()>>, Malformed> {
         let Some(frame) = next_frame(buffer, Self::MAX_COMMAND_BYTES).map_err(|_| Malformed)? else {
             return Ok(None);
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -8,7 +8,7 @@
 use lilacquay_core::{Answer, PendingAnswer, Requests, ValueStream};
 use tokio::time::{Instant, timeout};
 
-use crate::buffer_permits::BufferPermit;
+use crate::buffer_memory::ReservedMemory;
 
 /// How long a large value ahead of other responses is buffered. From then on it is forwarded as it arrives, since a
 /// client may not be prepared to wait 2 s for the rest of the value from the server.
@@ -31,8 +31,8 @@
     pub pending: PendingAnswer,
     /// What is kept of the command to format its answer.
     pub context: R,
-    /// The buffer permits of a long command, released once it is answered.
-    pub _permits: Option<BufferPermit>,
+    /// The buffer memory of a long command, released once it is answered.
+    pub _memory: Option<ReservedMemory>,
 }
 
 /// A large value, as far as it has arrived.
@@ -50,14 +50,19 @@
     pending: PendingAnswer,
     value: LargeValue<R>,
     until: Instant,
-    _permits: BufferPermit,
+    _memory: ReservedMemory,
 }
 
 impl<R> BufferedValue<R> {
-    /// Starts to buffer a value under these permits.
-    pub fn new(pending: PendingAnswer, context: R, value_stream: ValueStream, permits: BufferPermit) -> Self {
+    /// Starts to buffer a value in this memory.
+    pub fn new(
+        pending: PendingAnswer,
+        context: R,
+        value_stream: ValueStream,
+        memory: ReservedMemory,
+    ) -> Self {
         let value = LargeValue { context, value_stream, buffered: BytesMut::new() };
-        BufferedValue { pending, value, until: Instant::now() + VALUE_BUFFERING_TIMEOUT, _permits: permits }
+        BufferedValue { pending, value, until: Instant::now() + VALUE_BUFFERING_TIMEOUT, _memory: memory }
     }
 
     /// Waits until the value is to be forwarded or has failed. Cancel safe.
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -6,6 +6,7 @@
 
 use bytes::BytesMut;
 use lilacquay_core::{Answer, Call, ValueStream, stall};
+use lilacquay_metrics::RequestOutcome;
 use lilacquay_stream::Stream;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -13,14 +14,14 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
-use crate::buffer_permits::BufferPermit;
-use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, LongCommand, may_read, times_out_at};
+use crate::arriving_command::{ArrivingCommand, Received, RefusedCommand};
+use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, may_read, times_out_at};
 use crate::close_reason::CloseReason;
 use crate::evictable_connections::{Activity, EvictableConnection};
 use crate::protocol::{CloseNotice, Malformed, ParsedCommand, Protocol, Refusal};
 use crate::responses::{BufferedValue, LargeValue, NextResponse, Response, Responses, WaitingRequest};
-use crate::shared::{BYTES_PER_PERMIT, SharedState};
-use crate::socket::{Received, read_or_wait_for_close, wait_for_close, write_all};
+use crate::shared::SharedState;
+use crate::socket::{wait_for_close, write_all};
 
 /// The most pending responses on one connection, errors included; beyond that nothing more is read.
 const MAX_PENDING_RESPONSES: usize = 1024;
@@ -29,25 +30,19 @@
 /// Once this many bytes of answers are collected, they are written and other tasks get to run; the last answer may
 /// exceed it.
 const ANSWER_BYTES_PER_TURN: usize = 16 << 10;
-/// Any connection may have a buffer of up to this size; larger ones need permits, of which there are few.
-const SMALL_BUFFER_BYTES: usize = 8 << 10;
 
 /// How a large value that has begun to arrive is handled.
 enum LargeValueStart<R> {
     Forward(LargeValue<R>),
     Buffer,
-    /// There are no buffer permits for it.
+    /// There is no memory for it.
     Failed,
 }
 
 pub(crate) struct Session<P: Protocol> {
     shared: Arc<SharedState>,
     protocol: P,
-    buffer: BytesMut,
-    /// The permits of a buffer that is not small.
-    buffer_permits: Option<BufferPermit>,
-    /// The length of the arriving command in bytes, as far as it is known; 0 while the buffer is small.
-    expected_length: usize,
+    input: ArrivingCommand<P::ReplyContext>,
     last_read_at: Instant,
     /// When the most recently read bytes arrived at the socket.
     arrived_at: Instant,
@@ -82,12 +77,11 @@
 impl<P: Protocol> Session<P> {
     pub fn new(shared: Arc<SharedState>, protocol: P) -> Self {
         let now = Instant::now();
+        let input = ArrivingCommand::new(shared.requests.metrics().buffers());
         Session {
             shared,
             protocol,
-            buffer: BytesMut::new(),
-            buffer_permits: None,
-            expected_length: 0,
+            input,
             last_read_at: now,
             arrived_at: now,
             responses: Responses::new(),
@@ -107,7 +101,7 @@
         let peer = stream.peer_addr().ok();
         let stream = Stream::new(stream);
         let reason = self.serve(&stream).await.unwrap_or_else(CloseReason::from);
-        let (owed, unread) = (self.responses.len(), self.buffer.len());
+        let (owed, unread) = (self.responses.len(), self.input.buffer.len());
         debug!(?peer, owed, unread, "client connection closed: {reason}");
         self.shared.requests.metrics().connection_closed(reason.name());
         if reason.is_client_side() {
@@ -122,19 +116,16 @@
     async fn serve(&mut self, stream: &Stream) -> io::Result<CloseReason> {
         stream.socket().set_nodelay(true)?;
         let (mut reader, mut writer) = (stream.clone(), stream.clone());
-        let (mut service_mode, buffer_permits) =
-            (self.shared.service_mode.clone(), self.shared.buffer_permits.clone());
+        let (shared, mut service_mode) = (self.shared.clone(), self.shared.service_mode.clone());
         let (mut registration, mut just_answered) = (None, false);
         // Since when input has been waiting to be read, as far as that is known.
         let mut unread_since = None;
         loop {
             let nothing_pending = self.responses.is_empty();
             let mode = *service_mode.borrow_and_update();
-            let permits_needed = self.permits_needed();
-            // Whether more may be read into the buffer without further permits.
-            let may_grow = self.buffer.len() < SMALL_BUFFER_BYTES || self.permits_held() >= permits_needed;
-            if !may_grow {
-                self.buffer_permits = None; // never hold some permits while waiting for more
+            self.input.update_expected_length(&self.protocol);
+            if self.input.must_be_discarded(!nothing_pending) {
+                self.discard_command();
             }
             let state = self.connection_state(just_answered);
             let close_decision = self.close_policy.decide(mode, &state);
@@ -148,30 +139,23 @@
                     self.shared.evictable_connections.register(activity, self.last_progress_at)
                 });
             }
-            let reading = self.may_start_command() && !self.may_have_command && may_read(mode, &state);
-            let permits_wanted = (!may_grow).then_some(permits_needed);
+            let may_start_command = self.may_start_command() || self.input.is_discarded();
+            let reading = may_start_command && !self.may_have_command && may_read(mode, &state);
             let times_out_at = times_out_at(&state);
             tokio::select! {
                 biased;
-                received = read_or_wait_for_close(&mut reader, &mut self.buffer, self.expected_length, permits_wanted, &buffer_permits, reading, &mut unread_since) => {
+                received = self.input.receive(reading, !nothing_pending, &mut reader, &self.protocol, &shared.buffer_memory, &mut unread_since) => {
                     match received? {
                         Received::Bytes(0) => return Ok(CloseReason::ClientDisconnected),
                         Received::Bytes(read) => self.received(read, &mut unread_since),
-                        Received::Permits(acquired, readable_since) => {
-                            self.buffer_permits = Some(acquired);
-                            unread_since.get_or_insert(readable_since);
-                            self.last_read_at = Instant::now(); // `MAX_LONG_COMMAND_PAUSE` counts from here
-                        }
+                        Received::MemoryChanged if self.input.is_granted() => self.last_read_at = Instant::now(),
+                        Received::MemoryChanged => {}
                     }
                 }
                 response = self.responses.next(&self.shared.requests), if !nothing_pending => {
                     let (text, large_value) = self.collect_answers(response);
-                    // Watches for a close meanwhile, so that no attempts begin for a client that has disconnected while
-                    // its answers are written.
-                    tokio::select! {
-                        biased;
-                        written = self.write_answers(&mut writer, text, large_value) => written?,
-                        closed = wait_for_close(&reader, &mut unread_since) => return closed.map(|()| CloseReason::ClientDisconnected),
+                    if let Some(reason) = self.write_answers(&reader, &mut writer, text, large_value, &mut unread_since).await? {
+                        return Ok(reason);
                     }
                     self.last_progress_at = Instant::now();
                     just_answered = true;
@@ -196,24 +180,20 @@
 
     /// The state of the connection for the close policy.
     fn connection_state(&self, just_answered: bool) -> ConnectionState {
-        let long_command = (self.expected_length > BYTES_PER_PERMIT).then_some(LongCommand {
-            length: self.expected_length,
-            has_permits: self.buffer_permits.is_some(),
-        });
         ConnectionState {
             now: Instant::now(),
             connected_at: self.connected_at,
             last_progress_at: self.last_progress_at,
             last_read_at: self.last_read_at,
             has_pending_response: !self.responses.is_empty(),
-            in_command: !self.buffer.is_empty(),
+            in_command: self.input.is_partial(),
             has_sent_valid_command: self.has_sent_valid_command,
             has_opened_request: self.has_opened_request,
             just_answered,
             malformed_at: self.malformed_at,
             quit_requested: self.quit_requested,
             process_ending: self.shared.requests.is_shutting_down(),
-            long_command,
+            long_command: self.input.long_command(),
         }
     }
 
@@ -242,69 +222,78 @@
         self.last_read_at = Instant::now();
         stall::record_activity(None);
         self.arrived_at = unread_since.unwrap_or(stall::estimated_arrival(self.last_read_at));
-        if self.buffer.len() < self.buffer.capacity() {
+        self.input.record_arrival();
+        let buffer = &self.input.buffer;
+        if buffer.len() < buffer.capacity() {
             *unread_since = None; // the read left spare capacity, so nothing is left to read
         }
-        if self.has_sent_valid_command && read == self.buffer.len() {
+        if self.has_sent_valid_command && read == buffer.len() && !self.input.is_discarded() {
             self.last_progress_at = self.last_read_at; // the first byte of a command
         }
     }
 
-    /// Writes answers, then the large value behind them as it arrives.
+    /// Writes answers, then the large value behind them as it arrives. Meanwhile watches for a close, so that no attempts
+    /// begin for a client that has disconnected, and frees the memory of the next command if it is withdrawn. Returns
+    /// the reason if the connection ends.
     async fn write_answers(
         &mut self,
+        reader: &Stream,
         writer: &mut Stream,
         mut text: BytesMut,
         large_value: Option<LargeValue<P::ReplyContext>>,
-    ) -> io::Result<()> {
-        let Some(LargeValue { context, value_stream, buffered }) = large_value else {
-            return write_all(writer, &text).await;
-        };
-        self.protocol.write_value_header(context, value_stream.length(), value_stream.flags(), &mut text);
-        write_all(writer, &text).await?;
-        write_all(writer, &buffered).await?;
-        self.forward_value(writer, value_stream, buffered.len()).await
+        unread_since: &mut Option<Instant>,
+    ) -> io::Result<Option<CloseReason>> {
+        let value = large_value.map(|LargeValue { context, value_stream, buffered }| {
+            let (length, flags) = (value_stream.length(), value_stream.flags());
+            self.protocol.write_value_header(context, length, flags, &mut text);
+            let mut trailer = BytesMut::new();
+            self.protocol.write_value_trailer(&mut trailer);
+            ForwardedValue { value_stream, buffered, trailer }
+        });
+        let writing = write_text_and_value(writer, text, value);
+        tokio::pin!(writing);
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut writing => return written.map(|()| None),
+                closed = wait_for_close(reader, unread_since) => return closed.map(|()| Some(CloseReason::ClientDisconnected)),
+                () = self.input.withdrawn() => self.discard_command(),
+            }
+        }
     }
 
-    /// The number of permits that the arriving command needs.
-    fn permits_needed(&mut self) -> u32 {
-        self.expected_length = match self.buffer.len() < SMALL_BUFFER_BYTES {
-            true => 0,
-            false => self.protocol.expected_length(&self.buffer).min(P::MAX_COMMAND_BYTES),
-        };
-        let permits = self.expected_length.max(self.buffer.len()).div_ceil(BYTES_PER_PERMIT);
-        u32::try_from(permits).unwrap_or(u32::MAX).clamp(1, self.shared.buffer_permits.total())
+    /// Discards the arriving command, for which there is no memory. One that can't be refused is taken for malformed.
+    fn discard_command(&mut self) {
+        if self.input.discard(&self.protocol).is_err() {
+            let response = self.reject_malformed();
+            self.responses.push_back(response);
+        }
     }
 
-    fn permits_held(&self) -> u32 {
-        self.buffer_permits.as_ref().map_or(0, BufferPermit::count)
+    /// The answer to malformed input, after which nothing more is read.
+    fn reject_malformed(&mut self) -> Response<P::ReplyContext> {
+        self.malformed_at = Some(Instant::now());
+        self.input.clear();
+        let mut text = BytesMut::new();
+        self.protocol.write_close_notice(CloseNotice::Malformed, &mut text);
+        Response::Ready(text)
     }
 
-    fn activity(&self) -> Activity {
-        match (self.buffer.is_empty(), self.has_opened_request) {
-            (false, _) => Activity::InCommand,
-            (true, true) => Activity::BetweenRequests,
-            (true, false) => Activity::NoRequestYet,
-        }
+    /// The refusal of a command that was discarded as it arrived.
+    fn refuse_discarded(&mut self, command: RefusedCommand<P::ReplyContext>) -> Response<P::ReplyContext> {
+        self.has_sent_valid_command = true;
+        self.shared.requests.record_answered_before_open(command.class, RequestOutcome::Refused);
+        let mut text = BytesMut::new();
+        self.protocol.write_answer(command.context, Answer::Busy(0), &mut text);
+        Response::Ready(text)
     }
 
-    /// Writes the rest of a large value as it arrives; its first `written` bytes have been written before.
-    async fn forward_value(
-        &mut self,
-        writer: &mut Stream,
-        mut value_stream: ValueStream,
-        written: usize,
-    ) -> io::Result<()> {
-        let mut left = value_stream.length().saturating_sub(written);
-        while left > 0 {
-            // An incomplete value must not look complete: the client sees the connection end.
-            let piece = value_stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
-            write_all(writer, &piece.bytes).await?;
-            left = left.saturating_sub(piece.bytes.len());
+    fn activity(&self) -> Activity {
+        match (self.input.is_partial(), self.has_opened_request) {
+            (true, _) => Activity::InCommand,
+            (false, true) => Activity::BetweenRequests,
+            (false, false) => Activity::NoRequestYet,
         }
-        let mut text = BytesMut::new();
-        self.protocol.write_value_trailer(&mut text);
-        write_all(writer, &text).await
     }
 
     /// The text of a response and of those available behind it, up to the first large value, which ends the text.
@@ -354,16 +343,15 @@
         text: &mut BytesMut,
     ) -> LargeValueStart<P::ReplyContext> {
         let WaitingRequest { pending, context, .. } = request;
-        if self.responses.is_empty() && self.buffer.is_empty() {
+        if self.responses.is_empty() && !self.input.is_partial() {
             self.open_requests -= 1;
             return LargeValueStart::Forward(LargeValue { context, value_stream, buffered: BytesMut::new() });
         }
-        let permits = u32::try_from(value_stream.length().div_ceil(BYTES_PER_PERMIT)).unwrap_or(u32::MAX);
-        let Some(permits) = self.shared.buffer_permits.try_acquire(permits) else {
+        let Some(memory) = self.shared.buffer_memory.try_reserve_value(value_stream.length()) else {
             self.write_answer(context, Answer::Failed, text);
             return LargeValueStart::Failed;
         };
-        let value = BufferedValue::new(pending, context, value_stream, permits);
+        let value = BufferedValue::new(pending, context, value_stream, memory);
         self.responses.push_front(Response::Buffering(value));
         LargeValueStart::Buffer
     }
@@ -379,15 +367,15 @@
 
     /// Starts the complete commands in the buffer, up to [`COMMANDS_PER_TURN`].
     fn start_commands(&mut self) {
-        let before = self.buffer.len();
-        self.may_have_command = self.start_up_to_limit();
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new(); // frees a buffer that has grown
-        }
-        if self.buffer.len() < SMALL_BUFFER_BYTES {
-            self.buffer_permits = None;
+        if let Some(command) = self.input.drop_discarded() {
+            let response = self.refuse_discarded(command);
+            self.responses.push_back(response);
+            self.last_progress_at = Instant::now();
         }
-        if self.buffer.len() < before {
+        let before = self.input.buffer.len();
+        self.may_have_command = self.start_up_to_limit();
+        self.input.release_unneeded();
+        if self.input.buffer.len() < before {
             self.last_progress_at = Instant::now();
         }
     }
@@ -395,14 +383,15 @@
     /// Returns whether it ended only at [`COMMANDS_PER_TURN`].
     fn start_up_to_limit(&mut self) -> bool {
         for _ in 0..COMMANDS_PER_TURN {
-            if !self.may_start_command() {
+            if !self.may_start_command() || self.input.is_discarded() {
                 return false;
             }
-            let before = self.buffer.len();
-            let response = match self.protocol.next_command(&mut self.buffer) {
+            let buffer = &mut self.input.buffer;
+            let before = buffer.len();
+            let response = match self.protocol.next_command(buffer) {
                 Ok(None) => return false,
                 Ok(Some(ParsedCommand::Call(call, context))) => {
-                    self.open_request(*call, context, before - self.buffer.len())
+                    self.open_request(*call, context, before - self.input.buffer.len())
                 }
                 Ok(Some(ParsedCommand::Answered { text, valid })) => {
                     self.has_sent_valid_command |= valid;
@@ -415,16 +404,10 @@
                 }
                 Ok(Some(ParsedCommand::Quit(text))) => {
                     self.quit_requested = true;
-                    self.buffer.clear();
-                    Response::Ready(text)
-                }
-                Err(Malformed) => {
-                    self.malformed_at = Some(Instant::now());
-                    self.buffer.clear();
-                    let mut text = BytesMut::new();
-                    self.protocol.write_close_notice(CloseNotice::Malformed, &mut text);
+                    self.input.clear();
                     Response::Ready(text)
                 }
+                Err(Malformed) => self.reject_malformed(),
             };
             self.responses.push_back(response);
         }
@@ -447,11 +430,11 @@
             Ok(pending) => {
                 self.open_requests += 1;
                 (self.has_opened_request, self.has_sent_valid_command) = (true, true);
-                let permits = if length > BYTES_PER_PERMIT { self.buffer_permits.take() } else { None };
-                Response::Waiting(WaitingRequest { pending, context, _permits: permits })
+                let memory = self.input.take_long_command_memory(length);
+                Response::Waiting(WaitingRequest { pending, context, _memory: memory })
             }
             Err(refusal) => {
-                self.shared.requests.record_failed_before_open(class);
+                self.shared.requests.record_answered_before_open(class, RequestOutcome::Failed);
                 let mut text = BytesMut::new();
                 self.protocol.write_refusal(context, refusal, &mut text);
                 Response::Ready(text)
@@ -460,6 +443,34 @@
     }
 }
 
+/// A large value that is forwarded as it arrives.
+struct ForwardedValue {
+    value_stream: ValueStream,
+    /// Its first bytes, which have arrived.
+    buffered: BytesMut,
+    /// What is written behind it.
+    trailer: BytesMut,
+}
+
+/// Writes answers, then the large value behind them.
+async fn write_text_and_value(
+    writer: &mut Stream,
+    text: BytesMut,
+    value: Option<ForwardedValue>,
+) -> io::Result<()> {
+    write_all(writer, &text).await?;
+    let Some(ForwardedValue { mut value_stream, buffered, trailer }) = value else { return Ok(()) };
+    write_all(writer, &buffered).await?;
+    let mut left = value_stream.length().saturating_sub(buffered.len());
+    while left > 0 {
+        // An incomplete value must not look complete: the client sees the connection end.
+        let piece = value_stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
+        write_all(writer, &piece.bytes).await?;
+        left = left.saturating_sub(piece.bytes.len());
+    }
+    write_all(writer, &trailer).await
+}
+
 /// Waits until the time at which the close decision is to be made again; for ever if there is none.
 async fn recheck_due(decision: CloseDecision) {
     let at = if let CloseDecision::RecheckAt(at) = decision { Some(at) } else { None };
--- a/crates/fronts/src/shared.rs
+++ b/crates/fronts/src/shared.rs
@@ -1,19 +1,16 @@
-//! State that the connections of all frontends share: limits, evictable connections, buffer permits and the service
+//! State that the connections of all frontends share: limits, evictable connections, buffer memory and the service
 //! mode.
 
 use std::sync::Arc;
 
-use lilacquay_core::{Gauges, MAX_BUFFERED_VALUE_BYTES, Requests, ResourceShare};
+use lilacquay_core::{Gauges, Requests, ResourceShare};
 use lilacquay_lifecycle::ServiceMode;
 use tokio::sync::{Notify, watch};
 use tokio_util::task::TaskTracker;
 
-use crate::buffer_permits::BufferPermits;
+use crate::buffer_memory::BufferMemory;
 use crate::evictable_connections::EvictableConnections;
 
-/// Bytes of large buffers that one permit stands for: most commands that need a large buffer need one permit.
-pub(crate) const BYTES_PER_PERMIT: usize = 2 * MAX_BUFFERED_VALUE_BYTES;
-
 /// Limits on the resources of a node that its clients may hold.
 #[derive(Clone)]
 pub struct ClientLimits {
@@ -44,8 +41,8 @@
     pub(crate) evictable_connections: Arc<EvictableConnections>,
     /// Notified whenever a session has ended.
     pub(crate) session_ended: Notify,
-    /// Permits for large buffers, of [`BYTES_PER_PERMIT`] bytes each.
-    pub(crate) buffer_permits: BufferPermits,
+    /// The memory for long commands and large values.
+    pub(crate) buffer_memory: BufferMemory,
     /// Whether the node accepts connections, and when it closes those it has.
     pub(crate) service_mode: watch::Receiver<ServiceMode>,
     pub(crate) sessions: TaskTracker,
@@ -53,7 +50,7 @@
 
 impl SharedState {
     pub fn new(requests: Requests, limits: ClientLimits, service_mode: watch::Receiver<ServiceMode>) -> Self {
-        let buffer_permits = BufferPermits::new(limits.buffer_bytes, requests.metrics().buffers());
+        let buffer_memory = BufferMemory::new(limits.buffer_bytes, &requests.metrics().buffers());
         // Clients may hold a third of the descriptors. A quarter of that is kept free of connections that rest between
         // requests, so that clients can open further ones.
         let evictable_connections = Arc::new(EvictableConnections::new((limits.connections * 3 / 4).max(1)));
@@ -63,7 +60,7 @@
             limits,
             evictable_connections,
             session_ended,
-            buffer_permits,
+            buffer_memory,
             service_mode,
             sessions,
         }
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -1,4 +1,4 @@
-//! Reads and writes on a client's socket: reading under buffer permits, detecting that the client closed while nothing is
+//! Reads and writes on a client's socket: reading into a bounded buffer, detecting that the client closed while nothing is
 //! read, and writing to slow clients.
 
 use std::future::poll_fn;
@@ -7,17 +7,18 @@
 use std::task::{Poll, ready};
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use lilacquay_core::stall;
 use lilacquay_stream::Stream;
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::io::poll_read_buf;
 
-use crate::buffer_permits::{BufferPermit, BufferPermits};
-
 /// The least capacity reserved for a read: most commands arrive complete in one read.
 const MIN_READ_CAPACITY: usize = 1 << 10;
+/// The most bytes of a long command that are read at once. A read touches all memory that it may fill, and memory that is
+/// reserved for a command is occupied only once it is touched.
+const LONG_COMMAND_READ_BYTES: usize = 64 << 10;
 /// How often a socket with unread input is checked for a close by the client, which is hence noticed within this time.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// A client that reads no byte of its answers for this long is disconnected.
@@ -42,31 +43,6 @@
     Ok(())
 }
 
-/// What a session has received.
-pub(crate) enum Received {
-    /// The number of bytes read; 0 at the end of the stream.
-    Bytes(usize),
-    /// Buffer permits for a long command, and when more of it was first there to be read.
-    Permits(BufferPermit, Instant),
-}
-
-/// Reads commands; if permits are wanted, acquires them instead, and the next call reads. If `may_read` is false, only
-/// waits for the client to close.
-pub(crate) async fn read_or_wait_for_close(
-    reader: &mut Stream,
-    buffer: &mut BytesMut,
-    expected_length: usize,
-    permits_wanted: Option<u32>,
-    buffer_permits: &BufferPermits,
-    may_read: bool,
-    unread_since: &mut Option<Instant>,
-) -> io::Result<Received> {
-    if may_read {
-        return read_or_acquire(reader, buffer, expected_length, permits_wanted, buffer_permits).await;
-    }
-    wait_for_close(reader, unread_since).await.map(|()| Received::Bytes(0))
-}
-
 /// Waits until the client closes, without reading, and records since when input has been unread.
 pub(crate) async fn wait_for_close(stream: &Stream, unread_since: &mut Option<Instant>) -> io::Result<()> {
     loop {
@@ -82,34 +58,55 @@
     }
 }
 
-/// Reads available input; if permits are wanted, acquires those instead, once there is more to read.
-///
-/// Waiting for input first keeps permits from being held for a command whose rest is never sent.
-async fn read_or_acquire(
-    reader: &mut Stream,
-    buffer: &mut BytesMut,
+/// Waits for input and returns how many bytes of it lie unread, counted up to `limit`; 0 at the end of the stream.
+pub(crate) async fn count_unread(stream: &Stream, limit: usize) -> io::Result<usize> {
+    stream.peek(&mut [0]).await?;
+    stream.peek(&mut vec![0; limit]).await
+}
+
+/// How much is read at once.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReadLimits {
+    /// The length of the arriving command, for which capacity is reserved in one piece; 0 if it is not known.
     expected_length: usize,
-    permits_wanted: Option<u32>,
-    buffer_permits: &BufferPermits,
-) -> io::Result<Received> {
-    let Some(permits) = permits_wanted else {
-        return read(reader, buffer, expected_length).await.map(Received::Bytes);
-    };
-    reader.peek(&mut [0]).await?;
-    let readable_since = stall::estimated_arrival(Instant::now());
-    let acquired = buffer_permits.acquire(permits).await?;
-    Ok(Received::Permits(acquired, readable_since))
+    /// The most bytes to read.
+    max_bytes: usize,
+}
+
+impl Default for ReadLimits {
+    fn default() -> Self {
+        ReadLimits { expected_length: 0, max_bytes: usize::MAX }
+    }
+}
+
+impl ReadLimits {
+    /// For a long command of this length.
+    pub fn expecting(expected_length: usize) -> ReadLimits {
+        ReadLimits { expected_length, max_bytes: LONG_COMMAND_READ_BYTES }
+    }
+
+    /// For reading no further than this.
+    pub fn at_most(max_bytes: usize) -> ReadLimits {
+        ReadLimits { max_bytes, ..ReadLimits::default() }
+    }
 }
 
 /// Reads available input into the buffer, which allocates nothing until there is some.
-async fn read(reader: &mut Stream, buffer: &mut BytesMut, expected_length: usize) -> io::Result<usize> {
+pub(crate) async fn read(
+    reader: &mut Stream,
+    buffer: &mut BytesMut,
+    limits: ReadLimits,
+) -> io::Result<usize> {
     poll_fn(|cx| {
         ready!(reader.socket().poll_read_ready(cx))?;
         // Reserves all that a long command needs in one piece; otherwise doubles the buffer.
-        let capacity =
-            if expected_length > 0 { expected_length.saturating_sub(buffer.len()) } else { buffer.len() };
+        let capacity = match limits.expected_length {
+            0 => buffer.len(),
+            expected_length => expected_length.saturating_sub(buffer.len()),
+        };
         buffer.reserve(MIN_READ_CAPACITY.max(capacity));
-        let read = poll_read_buf(Pin::new(&mut *reader), cx, buffer);
+        let mut limited = (&mut *buffer).limit(limits.max_bytes);
+        let read = poll_read_buf(Pin::new(&mut *reader), cx, &mut limited);
         if read.is_pending() && buffer.is_empty() {
             *buffer = BytesMut::new();
         }
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -583,6 +583,10 @@
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Client { reader: BufReader::new(stream) }
     }
+    /// Another handle on the connection.
+    pub fn stream(&self) -> TcpStream {
+        self.reader.get_ref().try_clone().unwrap()
+    }
     pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
         self.reader.get_mut().write_all(bytes.as_ref()).unwrap();
     }
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -129,6 +129,8 @@
     pub waiting_commands: Gauge,
     /// The longest wait for memory since the start, in milliseconds.
     pub longest_wait_ms: Gauge,
+    /// Commands that were discarded as they arrived, for want of memory.
+    pub discarded_commands: Counter,
 }
 
 impl BufferMetrics {
@@ -239,6 +241,8 @@
         for (name, help, gauge) in buffers.gauges() {
             registry.register(name, help, gauge.clone());
         }
+        let discarded = buffers.discarded_commands.clone();
+        registry.register("buffer_discarded_commands", "Commands discarded for want of memory", discarded);
         registry.register("closes", "Client connections closed, by reason", closes.family.clone());
         registry.register("in_progress", "Requests taken and not ended", in_progress.clone());
         registry.register("known_cache_servers", "Caches in the list", known.clone());
@@ -392,6 +396,8 @@
         for (name, _, gauge) in self.0.buffers.gauges() {
             put_line(&mut text, format_args!("{name}"), gauge.get(), 'g');
         }
+        let discarded = self.0.buffers.discarded_commands.get() as i64;
+        put_line(&mut text, format_args!("buffer_discarded_commands"), discarded, 'c');
         put_line(&mut text, format_args!("in_progress"), self.0.in_progress.get(), 'g');
         put_line(&mut text, format_args!("known_cache_servers"), self.0.known.get(), 'g');
         put_line(&mut text, format_args!("skipped_cache_servers"), self.0.skipped.get(), 'g');
