Keep a closed connection until its client has read the last answers

What callers saw: the node closed a connection 8 ms after it had handed an answer of 1 MiB to the kernel; the client's next command was answered with a reset, and 842 of 1,024 KiB of the answer never came.

Cause: every close dropped the socket right behind the shutdown. The kernel resets such a connection as soon as a byte comes for it, or if one lay unread, and drops what it has not delivered. The end of the process was not the cause (it came 0.2 s later), nor the cache.

Change: all closes by the node go one way (close_gracefully in session.rs). It ends its own side and keeps the socket, without reading, until the client closes, or has had the time to read what may be on its way (delivery.rs, without I/O or clock: 64 KiB a second, no more than the socket's buffer holds, and 0.25 s). Nothing is read meanwhile, since what was read is owed an answer; a client sends what was not read once more. Kept connections count towards the limit on connections and are evicted last of all for a newcomer, and end with the process. Requests that a broken value leaves without an answer are reported before the wait. The log tells how long a connection was kept, and what ended that.

Why it works: an open socket answers nothing with a reset, however much comes for it.

Tests: tests/closing.rs. On the code before, the six closes (behind an answer while the process ends or the node leaves, idle, evicted, with another process serving, behind garbage) fail with 114,250 or 127,562 of 1,048,588 bytes; two on clients that read or close nothing hold on both. Tests of the estimate and of the order of evictions.

--- a/crates/fronts/src/eviction_queue.rs
+++ b/crates/fronts/src/eviction_queue.rs
@@ -13,13 +13,14 @@
 //!    transit has arrived;
 //! 2. connections that rest between requests, from 2 s after their last answer;
 //! 3. connections without a request so far, however new;
-//! 4. connections that have sent part of a command.
+//! 4. connections that have sent part of a command;
+//! 5. connections that the node has closed, whose clients may still be reading the last answers.
 //!
 //! Of a group, the connection that has been like that longest is evicted; in group 4, because the commands of
 //! well-behaved clients come to an end.
 //!
 //! While another process accepts connections at the same address, a process that has reached its portion of the limits
-//! evicts no connection that may be about to send a request (groups 3 and 4) before the other process has had time to
+//! evicts no connection that may be about to send a request (groups 3 and 4, and 5 with them) before the other process has had time to
 //! accept the newcomer. It then evicts one connection for each new one, since a portion that has just shrunk is no
 //! reason to close the connections it holds. [`eviction_scope`] makes that decision.
 //!
@@ -45,7 +46,7 @@
 pub enum EvictionScope {
     /// Only groups 1 and 2 of the order of preference.
     LongIdle,
-    /// All four groups.
+    /// All groups.
     AllGroups,
 }
 
@@ -67,6 +68,8 @@
     BetweenRequests,
     /// It has sent part of a command.
     InCommand,
+    /// The node has closed it and waits until its client has read the last answers.
+    Closing,
 }
 
 /// Identifies a registered connection: its activity, since when, and a unique number.
@@ -90,6 +93,7 @@
     no_request_yet: BTreeMap<(Micros, u64), T>,
     between_requests: BTreeMap<(Micros, u64), T>,
     in_command: BTreeMap<(Micros, u64), T>,
+    closing: BTreeMap<(Micros, u64), T>,
     max_between_requests: usize,
     last_number: u64,
 }
@@ -97,8 +101,15 @@
 impl<T> EvictionQueue<T> {
     /// Creates a queue in which at most this many connections may rest between requests.
     pub fn new(max_between_requests: usize) -> Self {
-        let (no_request_yet, between_requests, in_command) = Default::default();
-        EvictionQueue { no_request_yet, between_requests, in_command, max_between_requests, last_number: 0 }
+        let (no_request_yet, between_requests, in_command, closing) = Default::default();
+        EvictionQueue {
+            no_request_yet,
+            between_requests,
+            in_command,
+            closing,
+            max_between_requests,
+            last_number: 0,
+        }
     }
 
     fn connections_mut(&mut self, activity: Activity) -> &mut BTreeMap<(Micros, u64), T> {
@@ -106,6 +117,7 @@
             Activity::NoRequestYet => &mut self.no_request_yet,
             Activity::BetweenRequests => &mut self.between_requests,
             Activity::InCommand => &mut self.in_command,
+            Activity::Closing => &mut self.closing,
         }
     }
 
@@ -144,8 +156,10 @@
             return None;
         } else if !self.no_request_yet.is_empty() {
             Activity::NoRequestYet
-        } else {
+        } else if !self.in_command.is_empty() {
             Activity::InCommand
+        } else {
+            Activity::Closing
         };
         self.connections_mut(activity).pop_first().map(|(_, handle)| handle)
     }
@@ -190,15 +204,19 @@
                             .filter(|&handle| now >= since(handle) + NEW_CONNECTION_GRACE_US)
                             .or(resting.filter(|&handle| now >= since(handle) + RECENT_USE_GRACE_US))
                             .or(no_request.filter(|_| all_groups))
-                            .or(oldest(&model, Activity::InCommand).filter(|_| all_groups));
+                            .or(oldest(&model, Activity::InCommand).filter(|_| all_groups))
+                            .or(oldest(&model, Activity::Closing).filter(|_| all_groups));
                         let evicted = queue.evict(now, scope);
                         assert_eq!(evicted, expected, "seed {seed}");
                         evicted
                     }
                     _ => {
-                        let activity =
-                            [Activity::NoRequestYet, Activity::BetweenRequests, Activity::InCommand]
-                                [rng.usize(0..3)];
+                        let activity = [
+                            Activity::NoRequestYet,
+                            Activity::BetweenRequests,
+                            Activity::InCommand,
+                            Activity::Closing,
+                        ][rng.usize(0..4)];
                         let (key, evicted) = queue.insert(activity, now, n);
                         model.push((key, n));
                         let resting =
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod buffer_pool;
 pub mod close_policy;
 pub mod close_reason;
+pub mod delivery;
 mod evictable_connections;
 pub mod eviction_queue;
 pub mod memcache;
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -139,15 +139,6 @@
         std::mem::take(&mut self.0).into_iter()
     }
 
-    /// The pending requests among the responses.
-    pub fn requests(&self) -> impl Iterator<Item = &PendingAnswer> {
-        self.0.iter().filter_map(|response| match response {
-            Response::Ready(_) => None,
-            Response::Waiting(request) => Some(&request.pending),
-            Response::Buffering(value) => Some(&value.pending),
-        })
-    }
-
     /// Waits for the next response that can be written. Cancel safe.
     pub async fn next(&mut self, requests: &Requests) -> NextResponse<R> {
         let answer = match self.0.front_mut() {
@@ -185,6 +176,15 @@
 }
 
 impl<R> Response<R> {
+    /// The pending request; none if the response is text already.
+    pub fn into_pending(self) -> Option<PendingAnswer> {
+        match self {
+            Response::Ready(_) => None,
+            Response::Waiting(request) => Some(request.pending),
+            Response::Buffering(value) => Some(value.pending),
+        }
+    }
+
     /// The context and the answer as it stands now, failed if there is none; `Err` holds a response that is text already.
     pub fn into_answer(self) -> Result<(R, Answer), BytesMut> {
         match self {
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -8,7 +8,7 @@
 use lilacquay_core::{Answer, Call, ValueStream, stall};
 use lilacquay_metrics::RequestOutcome;
 use lilacquay_stream::Stream;
-use tokio::io::AsyncWriteExt;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
@@ -17,6 +17,7 @@
 use crate::arriving_command::{ArrivingCommand, Received, RefusedCommand};
 use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, may_read, times_out_at};
 use crate::close_reason::CloseReason;
+use crate::delivery::DeliveryEstimate;
 use crate::evictable_connections::{Activity, EvictableConnection};
 use crate::protocol::{CloseNotice, Malformed, ParsedCommand, Protocol, Refusal};
 use crate::responses::{BufferedValue, LargeValue, NextResponse, Response, Responses, WaitingRequest};
@@ -56,6 +57,7 @@
     has_opened_request: bool,
     connected_at: Instant,
     close_policy: ClosePolicy,
+    delivery: DeliveryEstimate,
     /// The last progress: the connection's start, its last answer, the last command taken from the buffer or, once the
     /// client has sent a valid command, the first byte of the next.
     last_progress_at: Instant,
@@ -70,7 +72,7 @@
 impl<P: Protocol> Drop for Session<P> {
     /// Reports the requests of a session that has not run to its end as left without an answer.
     fn drop(&mut self) {
-        self.responses.requests().for_each(|pending| self.shared.requests.record_closed_unanswered(pending));
+        self.report_unanswered();
     }
 }
 
@@ -90,6 +92,7 @@
             has_opened_request: false,
             connected_at: now,
             close_policy: ClosePolicy::default(),
+            delivery: DeliveryEstimate::default(),
             last_progress_at: now,
             may_have_command: false,
             malformed_at: None,
@@ -105,12 +108,42 @@
         debug!(?peer, owed, unread, "client connection closed: {reason}");
         self.shared.requests.metrics().connection_closed(reason.name());
         if reason.is_client_side() {
-            self.responses.clear(); // the client has given up these answers itself: `drop` does not report them
+            self.responses.clear(); // the client has given up these answers itself, so that they are not reported
+        } else {
+            self.report_unanswered();
+            self.close_gracefully(&stream).await;
         }
         drop(stream);
         self.shared.session_ended.notify_waiters();
     }
 
+    /// Reports the pending requests as left without an answer, and drops them.
+    fn report_unanswered(&mut self) {
+        let responses = self.responses.take_all();
+        let unanswered = responses.filter_map(Response::into_pending);
+        unanswered.for_each(|pending| self.shared.requests.record_closed_unanswered(&pending));
+    }
+
+    /// Ends the node's side of the connection, and keeps it until its client has read the last answers and closes. Reads
+    /// nothing: the client may send what is still unread again on a new connection.
+    async fn close_gracefully(&mut self, stream: &Stream) {
+        self.input.clear();
+        if stream.clone().shutdown().await.is_err() {
+            return; // the client has gone
+        }
+        let now = Instant::now();
+        let socket_buffer_bytes = stream.send_buffer_bytes().unwrap_or(usize::MAX);
+        let Some(until) = self.delivery.linger_until(now, socket_buffer_bytes) else { return };
+        let mut registration = Some(self.shared.evictable_connections.register(Activity::Closing, now));
+        let mut unread_since = None;
+        let ended_by = tokio::select! {
+            _ = wait_for_close(stream, &mut unread_since) => "the client closed",
+            () = sleep_until(until) => "the client had time to read all",
+            () = EvictableConnection::evicted(&mut registration) => "it made room for another",
+        };
+        debug!(lingered_ms = now.elapsed().as_millis() as u64, "closed connection released: {ended_by}");
+    }
+
     /// Serves the connection to its end and returns the reason for that. I/O errors are those of the client's socket;
     /// [`CloseReason`] converts them.
     async fn serve(&mut self, stream: &Stream) -> io::Result<CloseReason> {
@@ -130,7 +163,7 @@
             let state = self.connection_state(just_answered);
             let close_decision = self.close_policy.decide(mode, &state);
             if let CloseDecision::Close(reason) = close_decision {
-                return writer.shutdown().await.map(|()| reason);
+                return Ok(reason);
             }
             just_answered = false;
             let activity = nothing_pending.then(|| self.activity());
@@ -163,16 +196,16 @@
                 () = yield_now(), if self.may_have_command => {}
                 // Placed after the read: available input is read first.
                 () = yield_now(), if close_decision == CloseDecision::CloseIfNothingToRead => {
-                    return writer.shutdown().await.map(|()| CloseReason::ShuttingDown);
+                    return Ok(CloseReason::ShuttingDown);
                 }
                 () = recheck_due(close_decision) => {}
                 Ok(()) = service_mode.changed() => {}
                 () = sleep_until_or_forever(times_out_at) => {
                     let text = self.final_answers();
-                    write_all(&mut writer, &text).await?;
-                    return writer.shutdown().await.map(|()| self.timeout_reason());
+                    write_all(&mut writer, &text, &mut self.delivery).await?;
+                    return Ok(self.timeout_reason());
                 }
-                () = EvictableConnection::evicted(&mut registration) => return writer.shutdown().await.map(|()| CloseReason::Evicted),
+                () = EvictableConnection::evicted(&mut registration) => return Ok(CloseReason::Evicted),
             }
             self.start_commands();
         }
@@ -250,16 +283,23 @@
             self.protocol.write_value_trailer(&mut trailer);
             ForwardedValue { value_stream, buffered, trailer }
         });
-        let writing = write_text_and_value(writer, text, value);
-        tokio::pin!(writing);
-        loop {
-            tokio::select! {
-                biased;
-                written = &mut writing => return written.map(|()| None),
-                closed = wait_for_close(reader, unread_since) => return closed.map(|()| Some(CloseReason::ClientDisconnected)),
-                () = self.input.withdrawn() => self.discard_command(),
+        let mut delivery = self.delivery;
+        let ended = {
+            let writing = write_text_and_value(writer, text, value, &mut delivery);
+            tokio::pin!(writing);
+            loop {
+                tokio::select! {
+                    biased;
+                    written = &mut writing => break written.map(|()| None),
+                    closed = wait_for_close(reader, unread_since) => {
+                        break closed.map(|()| Some(CloseReason::ClientDisconnected));
+                    }
+                    () = self.input.withdrawn() => self.discard_command(),
+                }
             }
-        }
+        };
+        self.delivery = delivery;
+        ended
     }
 
     /// Discards the arriving command, for which there is no memory. One that can't be refused is taken for malformed.
@@ -457,18 +497,19 @@
     writer: &mut Stream,
     text: BytesMut,
     value: Option<ForwardedValue>,
+    delivery: &mut DeliveryEstimate,
 ) -> io::Result<()> {
-    write_all(writer, &text).await?;
+    write_all(writer, &text, delivery).await?;
     let Some(ForwardedValue { mut value_stream, buffered, trailer }) = value else { return Ok(()) };
-    write_all(writer, &buffered).await?;
+    write_all(writer, &buffered, delivery).await?;
     let mut left = value_stream.length().saturating_sub(buffered.len());
     while left > 0 {
         // An incomplete value must not look complete: the client sees the connection end.
         let piece = value_stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
-        write_all(writer, &piece.bytes).await?;
+        write_all(writer, &piece.bytes, delivery).await?;
         left = left.saturating_sub(piece.bytes.len());
     }
-    write_all(writer, &trailer).await
+    write_all(writer, &trailer, delivery).await
 }
 
 /// Waits until the time at which the close decision is to be made again; for ever if there is none.
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -14,6 +14,8 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::io::poll_read_buf;
 
+use crate::delivery::DeliveryEstimate;
+
 /// The least capacity reserved for a read: most commands arrive complete in one read.
 const MIN_READ_CAPACITY: usize = 1 << 10;
 /// The most bytes of a long command that are read at once. A read touches all memory that it may fill, and memory that is
@@ -30,14 +32,21 @@
 ///
 /// Fails for a client that reads nothing for [`WRITE_STALL_TIMEOUT`], or so slowly that it would hold a connection to a
 /// server for ever. A client that reads slowly but steadily is not disconnected.
-pub(crate) async fn write_all(writer: &mut Stream, mut text: &[u8]) -> io::Result<()> {
+pub(crate) async fn write_all(
+    writer: &mut Stream,
+    mut text: &[u8],
+    delivery: &mut DeliveryEstimate,
+) -> io::Result<()> {
     let deadline = Instant::now()
         + WRITE_STALL_TIMEOUT
         + Duration::from_secs((text.len() / MIN_WRITE_BYTES_PER_SECOND) as u64);
     while !text.is_empty() {
         match timeout_at(deadline.min(Instant::now() + WRITE_STALL_TIMEOUT), writer.write(text)).await?? {
             0 => return Err(io::ErrorKind::WriteZero.into()),
-            written => text = &text[written..],
+            written => {
+                delivery.record_write(Instant::now(), written);
+                text = &text[written..];
+            }
         }
     }
     Ok(())
--- a/crates/stream/src/lib.rs
+++ b/crates/stream/src/lib.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// How many bytes of memory the kernel may use for what has been written and is not delivered.
+    ///
+    /// # Errors
+    /// If the kernel does not tell.
+    pub fn send_buffer_bytes(&self) -> io::Result<usize> {
+        SockRef::from(&*self.0).send_buffer_size()
+    }
+
     /// The number of bytes that can be read now, at most 1; 0 means the end of the stream. Queries the kernel rather
     /// than the runtime's readiness state.
     ///
