--- a/crates/lilacquay/tests/closing.rs
+++ b/crates/lilacquay/tests/closing.rs
@@ -11,7 +11,7 @@
 use std::thread::{self, JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
-use common::{Client, Fake, Node, PATIENCE, Start, list, value_head, words};
+use common::{Call, Client, Fake, Node, PATIENCE, Start, list, value_head, words};
 
 const MS: Duration = Duration::from_millis(1);
 /// The longest deadline of the tests' settings.
@@ -88,6 +88,10 @@
         }));
     }
 
+    fn call(&self) -> Call {
+        self.cache.as_ref().unwrap().call()
+    }
+
     fn ask_admin(&self, call: &str) -> String {
         let mut stream = TcpStream::connect(self.admin).unwrap();
         stream.write_all(format!("{call}\n").as_bytes()).unwrap();
@@ -282,6 +286,67 @@
     sending.join().unwrap();
 }
 
+#[test]
+fn an_answer_was_reset_by_the_end_of_the_process() {
+    let mut site = Site::new(1024, None);
+    let mut client = site.node.client();
+    client.ping();
+    site.node.terminate();
+    let terminated_at = Instant::now();
+    sleep(500 * MS);
+    ask(&mut client, "large", "large");
+    let mut call = site.call();
+    // Within the last 0.1 s in which the process reads; it ends 0.45 s after the longest deadline.
+    sleep((terminated_at + LONGEST_DEADLINE + 330 * MS).saturating_duration_since(Instant::now()));
+    call.answer(large_answer());
+    let sending = send_meanwhile(&client, Sends::Many);
+    let mut stream = client.stream();
+    let (mut buffer, mut come) = (vec![0; READ_BYTES], 0);
+    while let Ok(read) = stream.read(&mut buffer)
+        && read > 0
+        && come < answer_bytes()
+    {
+        come += read;
+        sleep(5 * MS); // whole 0.2 s later, before the platform may kill
+    }
+    assert_whole(come.min(answer_bytes()), "the process ended");
+    drop((client, stream));
+    sending.join().unwrap();
+    assert!(site.node.exit());
+    assert!(terminated_at.elapsed() < LONGEST_DEADLINE + KILL_DELAY, "{:?}", terminated_at.elapsed());
+}
+
+#[test]
+fn a_value_that_still_flowed_was_cut_off_before_the_process_could_be_killed() {
+    let mut site = Site::new(1024, None);
+    let mut client = site.node.client();
+    client.ping();
+    site.node.terminate();
+    let terminated_at = Instant::now();
+    sleep(500 * MS);
+    ask(&mut client, "large", "large");
+    let mut call = site.call();
+    let whole_at = terminated_at + LONGEST_DEADLINE + 560 * MS;
+    let giving = thread::spawn(move || {
+        let answer = large_answer();
+        let pieces = answer.as_bytes().chunks(READ_BYTES);
+        let pause = whole_at.saturating_duration_since(Instant::now()) / pieces.len() as u32;
+        for (n, piece) in pieces.enumerate() {
+            let due = whole_at - pause * (VALUE_BYTES.div_ceil(READ_BYTES).saturating_sub(n) as u32);
+            sleep(due.saturating_duration_since(Instant::now()));
+            if call.try_answer(piece).is_err() {
+                return;
+            }
+        }
+    });
+    let answer = client.answer();
+    assert_eq!(answer.map(|value| value.len()), Some(VALUE_BYTES), "{:?}", terminated_at.elapsed());
+    giving.join().unwrap();
+    drop(client);
+    assert!(site.node.exit());
+    assert!(terminated_at.elapsed() < LONGEST_DEADLINE + KILL_DELAY, "{:?}", terminated_at.elapsed());
+}
+
 #[test]
 fn clients_that_read_or_close_nothing_hold_up_the_end_of_no_process() {
     let mut site = Site::usual();
