Soak: clients that stop in large writes, and slow readers across SIGTERM

Its clients stopped only within 4 bytes of a command's beginning, its large writes had 40,000 bytes, and its clients took every answer at once, so that no close met an answer under way.

Change: at every sixth node 72 clients stop within writes of 4 MiB and of 60,000 bytes from a drawn time on; each must get its end within 3 s, and the twelve whole writes beside them an answer within half a second of their time. At every second node a client reads 1 MiB at about 1 MB/s from 0.45 s before SIGTERM and sends commands 0.55 and 0.6 s after it; a value that its cache gave whole must come whole. Stand-in caches pad values to the `size` that a request states, and record that they were sent. Each fault's occurrence is counted: `stopped in a write`, `sound writes beside them`, `slow readers across SIGTERM`.

--- a/crates/fleet/src/cache.rs
+++ b/crates/fleet/src/cache.rs
@@ -350,6 +350,7 @@
             stream.write_all(&answer.bytes).await?;
             match answer.follow_up {
                 FollowUp::None => {}
+                FollowUp::RecordSent(request) => self.record(Event::LargeValueSent(request)),
                 FollowUp::RepeatAnswer(request) => {
                     self.repeat_answer(&request, &answer.bytes, stream, &mut buffer).await?
                 }
@@ -405,9 +406,7 @@
         let bytes = match self.execute_while_connected(&request, stream, buffer).await? {
             RequestResult::Busy => encode_error("BUSY"),
             RequestResult::Miss => encode_answer(None),
-            RequestResult::Value(version) => {
-                encode_answer(Some(&response_value(&request.id, &request.key, version)))
-            }
+            RequestResult::Value(version) => encode_answer(Some(&padded_value(&request, version))),
             RequestResult::Failed => encode_error("ERR failed"),
             RequestResult::Malformed => self.pick_malformed(MALFORMED_ANSWERS),
             RequestResult::Truncated => {
@@ -416,10 +415,12 @@
             }
         };
         let repeats = self.should_inject(|faults| faults.twice);
-        Ok(EncodedAnswer {
-            bytes,
-            follow_up: if repeats { FollowUp::RepeatAnswer(request) } else { FollowUp::None },
-        })
+        let follow_up = match request.value_bytes {
+            Some(_) => FollowUp::RecordSent(request),
+            None if repeats => FollowUp::RepeatAnswer(request),
+            None => FollowUp::None,
+        };
+        Ok(EncodedAnswer { bytes, follow_up })
     }
 
     /// Executes a request: queues it for a core, works on it and applies the faults.
@@ -542,6 +543,8 @@
 enum FollowUp {
     /// The next command is read.
     None,
+    /// It is recorded that the answer was sent, and the next command is read.
+    RecordSent(ReceivedRequest),
     /// The same answer is sent again.
     RepeatAnswer(ReceivedRequest),
     /// Nothing more is sent on the connection.
@@ -569,6 +572,13 @@
     format!("{id} {key} v{version}")
 }
 
+/// The value of a request, padded to the length that its client asks for.
+fn padded_value(request: &ReceivedRequest, version: u64) -> String {
+    let value = response_value(&request.id, &request.key, version);
+    let padding = request.value_bytes.unwrap_or(0).saturating_sub(value.len());
+    value + &".".repeat(padding)
+}
+
 /// The words of a command; `None` if it is not an array of bulk strings.
 fn command_words(frame: Frame) -> Option<Vec<String>> {
     let Frame::Array(parts) = frame else { return None };
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -33,6 +33,8 @@
     Discarded(ReceivedRequest),
     /// An answer was sent a second time, on a connection that was still open (fault `twice`).
     AnswerRepeated(ReceivedRequest),
+    /// A value of a length that its client asked for was sent whole.
+    LargeValueSent(ReceivedRequest),
     /// The beginning of a large value was sent; the rest never will be (fault `halt`).
     AnswerHalted(ReceivedRequest),
     /// An answer without `Content-Length` ended in the middle (fault `cut`).
@@ -66,11 +68,13 @@
     pub is_write: bool,
     /// The remaining time until its client's deadline, as sent to the server; `None` if none was sent.
     pub time_left: Option<Micros>,
+    /// The length of the value in bytes that its client asks for; values are short otherwise.
+    pub value_bytes: Option<usize>,
 }
 
 impl ReceivedRequest {
     /// Parses a request's arguments. `facts` holds attributes as names and values, as in `c=read,d=480`: class `c`,
-    /// time left `d` in milliseconds, idempotency key `k`.
+    /// time left `d` in milliseconds, idempotency key `k`, length of the value `size`.
     pub fn new(key: &str, id: &str, facts: &str, is_write: bool) -> Self {
         let fact = |name: &str| {
             let mut pairs = facts.split(',').filter_map(|fact| fact.split_once('='));
@@ -85,6 +89,7 @@
             idempotency_key: fact("k"),
             is_write,
             time_left,
+            value_bytes: fact("size").and_then(|size| size.parse().ok()),
         }
     }
 }
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -7,6 +7,8 @@
 mod pipelined;
 mod process;
 mod run_delay;
+mod slow_readers;
+mod stopped_writes;
 mod system_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,7 +25,7 @@
 
 use crate::clients::{self, Class, ClientRequest, Load, Outcome, Report, RequestKind};
 use crate::clock::Micros;
-use crate::record::Event;
+use crate::record::{Event, Record};
 use crate::verdict::{Violation, check};
 use crate::{Fleet, FleetConfig};
 
@@ -31,6 +33,8 @@
 use pipelined::{Pace, PipelineReport, run_pipelining_client};
 use process::Process;
 use run_delay::RunDelays;
+use slow_readers::{SlowReaderReport, run_slow_reader};
+use stopped_writes::{STOPPED_CLIENT_LIMIT, StoppedWriteReport, run_stopped_writes};
 use system_calls::SystemCallFaults;
 
 pub use system_calls::{Program, SYSCALL_FAULT_SEED_INTERVAL};
@@ -60,6 +64,12 @@
 const MAX_DESCRIPTORS: usize = 512;
 /// One in this many nodes has a pipelining client.
 const PIPELINING_CLIENT_INTERVAL: usize = 3;
+/// One in this many nodes has clients that stop in writes; they are among those with a pipelining client.
+const STOPPED_WRITE_INTERVAL: usize = 6;
+/// One in this many nodes has a slow reader as it is told to end.
+const SLOW_READER_INTERVAL: usize = 2;
+/// When clients begin to stop in writes, in milliseconds.
+const STOPPED_WRITES_BEGIN_MS: std::ops::Range<u64> = 300..2500;
 
 /// The result of one seed.
 #[derive(Debug)]
@@ -148,6 +158,8 @@
     slots: Vec<NodeSlot>,
     idle_connections: Vec<TcpStream>,
     pipeline_reports: Vec<PipelineReport>,
+    stopped_write_reports: Vec<StoppedWriteReport>,
+    slow_reader_reports: Vec<SlowReaderReport>,
     run_delays: RunDelays,
     /// Descriptions of violations that are found while the faults are played.
     violations: Vec<String>,
@@ -183,6 +195,7 @@
             slot.start(&program.path, &system_calls, &fleet)?;
         }
         let (idle_connections, pipeline_reports, run_delays, violations) = Default::default();
+        let (stopped_write_reports, slow_reader_reports) = Default::default();
         let program = program.path.clone();
         Ok(Soak {
             seed,
@@ -192,6 +205,8 @@
             slots,
             idle_connections,
             pipeline_reports,
+            stopped_write_reports,
+            slow_reader_reports,
             run_delays,
             violations,
         })
@@ -256,6 +271,22 @@
                 ))
             })
             .collect();
+        let mut rng = fastrand::Rng::with_seed(self.seed ^ 0x5709);
+        let stopped_writes: Vec<_> = (0..NODES)
+            .step_by(STOPPED_WRITE_INTERVAL)
+            .map(|node| {
+                let from = start + Duration::from_millis(rng.u64(STOPPED_WRITES_BEGIN_MS));
+                let seed = self.seed * 1000 + node as u64;
+                runtime.spawn(run_stopped_writes(self.slots[node].listen, seed, from))
+            })
+            .collect();
+        let slow_readers: Vec<_> = (0..NODES)
+            .step_by(SLOW_READER_INTERVAL)
+            .map(|node| {
+                let seed = self.seed * 1000 + node as u64;
+                runtime.spawn(run_slow_reader(self.slots[node].listen, seed, start + FAULT_PERIOD))
+            })
+            .collect();
         let processes = Arc::new(Mutex::new(self.process_ids()));
         let ended = Arc::new(AtomicBool::new(false));
         let sampling = {
@@ -266,6 +297,12 @@
         for pipeline in pipelines {
             self.pipeline_reports.push(runtime.block_on(pipeline).map_err(io::Error::other)?);
         }
+        for stopped in stopped_writes {
+            self.stopped_write_reports.push(runtime.block_on(stopped).map_err(io::Error::other)?);
+        }
+        for slow_reader in slow_readers {
+            self.slow_reader_reports.extend(runtime.block_on(slow_reader).map_err(io::Error::other)?);
+        }
         let mut reports = Vec::new();
         for load in loads {
             reports.push(runtime.block_on(load).map_err(io::Error::other)?);
@@ -300,6 +337,11 @@
         Ok(())
     }
 
+    /// How many clients sent commands after SIGTERM while they still read a large value.
+    fn slow_readers_across_sigterm(&self) -> usize {
+        self.slow_reader_reports.iter().filter(|report| report.sent_while_reading).count()
+    }
+
     /// Checks the invariants, and counts how often each fault actually met a request.
     fn evaluate(self, reports: Vec<Report>) -> Verdict {
         let (mut asks, mut doubled) = (Vec::new(), 0);
@@ -319,7 +361,7 @@
         let asks: Vec<ClientRequest> = asks.into_iter().map(|(_, ask)| ask).collect();
         let max_allowance_us = asks.iter().map(|ask| ask.scheduling_delay).max().unwrap_or(0) as usize;
         let (records, dropped) = self.fleet.records();
-        let mut violations = self.violations;
+        let mut violations = self.violations.clone();
         let broken = check((&records, dropped), &asks, doubled, LIST_CHANGE_GRACE_US);
         violations.extend(broken.iter().map(Violation::to_string));
         // A paused node may report broken rules that are due to its pause. For such nodes only the check above counts, which
@@ -334,8 +376,15 @@
                 _ => None,
             })
             .collect();
+        let allowance = UNSAMPLED_DELAY_ALLOWANCE + Duration::from_micros(max_allowance_us as u64);
+        for report in &self.stopped_write_reports {
+            violations.extend(stopped_write_violations(report, allowance));
+        }
+        let given_whole: BTreeSet<&str> = records.iter().filter_map(large_value_sent).collect();
+        let cut_off = self.slow_reader_reports.iter().filter(|report| report.is_cut_off());
+        let cut_off = cut_off.filter(|report| given_whole.contains(report.id.as_str()));
+        violations.extend(cut_off.map(|report| format!("cut off: {report:?}")));
         for report in &self.pipeline_reports {
-            let allowance = UNSAMPLED_DELAY_ALLOWANCE + Duration::from_micros(max_allowance_us as u64);
             for unanswered in &report.unanswered {
                 let id = &unanswered.id;
                 if forwarded.contains(id.as_str()) {
@@ -373,6 +422,12 @@
             ("large writes in pipelines", large_writes),
             ("unread behind a broken value", after_partial_value),
             ("lost as the listener closed", lost_at_listener_close),
+            ("stopped in a write", self.stopped_write_reports.iter().map(|report| report.stopped).sum()),
+            (
+                "sound writes beside them",
+                self.stopped_write_reports.iter().map(|report| report.answered).sum(),
+            ),
+            ("slow readers across SIGTERM", self.slow_readers_across_sigterm()),
             ("answers sent twice", repeated),
             ("values that stopped", halted),
             ("answers cut, of no length", cut),
@@ -384,6 +439,23 @@
     }
 }
 
+/// The violations that clients saw beside others that stopped in a write.
+fn stopped_write_violations(report: &StoppedWriteReport, allowance: Duration) -> Vec<String> {
+    let kept = report.kept_too_long.iter().filter(|kept| **kept > STOPPED_CLIENT_LIMIT + allowance);
+    let kept = kept.map(|kept| format!("a client that stopped in a write was kept for {kept:?}"));
+    let late = report.late.iter().filter(|late| late.beyond_limit > allowance);
+    let late = late.map(|late| format!("lost: {} was answered {:?} too late", late.id, late.beyond_limit));
+    kept.chain(late).collect()
+}
+
+/// The id of a request whose large value a server has sent whole.
+fn large_value_sent(record: &Record) -> Option<&str> {
+    match &record.event {
+        Event::LargeValueSent(request) => Some(&request.id),
+        _ => None,
+    }
+}
+
 /// Opens connections that send half a command or nothing and stay open.
 fn open_idle_connections(listen: SocketAddr, count: usize) -> Vec<TcpStream> {
     let connect = |n: usize| {
