Judge an origin's answer by when it began, not by when its head was whole

A swap-charge ran twice, since the second 503 for a read said that it had never run; a read was served another key's value.

Cause: on a connection to a slow origin that was reused after 1 ms, an answer within 15 ms of the last is not trusted, but the time was taken when hyper had the whole head. A copy that began within the 15 ms and went on behind them was believed.

Change: a wrapper round the connection (arrival.rs) records when the first byte since the request was read, and that time decides. Caches are not concerned: their connections rest for 15 ms, and each read is checked.

Test: a_slow_origins_second_answer_in_pieces_was_served_to_the_next_request_on_its_connection (tests/answers.rs) was served `first` on the code before.

--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -90,9 +90,10 @@
         self.stream_starter.start(length, flags)
     }
 
-    /// Whether data that arrives now may be a duplicate of the answer to the previous request on the connection.
-    pub fn may_be_duplicate_answer(&self) -> bool {
-        Instant::now() < self.trusted_from
+    /// Whether an answer whose first byte arrived at this time may be a duplicate of the answer to the previous request on
+    /// the connection.
+    pub fn may_be_duplicate_answer(&self, first_byte_at: Instant) -> bool {
+        first_byte_at < self.trusted_from
     }
 
     /// Must be called when the attempt's first byte is about to be written.
--- a/crates/lilacquay/tests/answers.rs
+++ b/crates/lilacquay/tests/answers.rs
@@ -119,6 +119,57 @@
     }
 }
 
+/// Has an origin known to be slow answer one write twice, while the next one is on its way there, and gives the answer to
+/// that. `second_copy` writes the second copy of the first answer.
+fn answer_behind_a_slow_origins_second_one(
+    site: &OneCache,
+    client: &mut Client,
+    second_copy: impl Fn(&mut Call, &str),
+) -> Option<String> {
+    let text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    client.set("k1", "c=put,d=1900", "on");
+    let mut first = site.origin.call();
+    sleep(Duration::from_millis(40));
+    first.answer(text);
+    assert_eq!(client.answer().as_deref(), Some("first"));
+    sleep(Duration::from_millis(2));
+    client.set("k2", "c=put,d=1900", "on");
+    let mut second = site.origin.call();
+    second_copy(&mut first, text);
+    sleep(Duration::from_millis(40));
+    let _ = second.try_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+    client.answer()
+}
+
+/// Lets a node learn that its origin is slow.
+fn let_origin_be_slow(site: &OneCache, client: &mut Client) {
+    for _ in 0..30 {
+        client.set("k0", "c=put,d=1900", "on");
+        let call = site.origin.call();
+        sleep(Duration::from_millis(40));
+        call.http("200 OK", "receipt");
+        assert_eq!(client.answer().as_deref(), Some("receipt"));
+    }
+}
+
+#[test]
+fn a_slow_origins_second_answer_in_pieces_was_served_to_the_next_request_on_its_connection() {
+    let site = OneCache::new();
+    let mut client = site.node.client();
+    let_origin_be_slow(&site, &mut client);
+    for _ in 0..10 {
+        let answer = answer_behind_a_slow_origins_second_one(&site, &mut client, |first, text| {
+            sleep(Duration::from_millis(3)); // some 5 ms behind the first copy; the rest comes up to 12 ms later
+            for piece in text.as_bytes().chunks(text.len() / 4 + 1) {
+                let _ = first.try_answer(piece); // its connection may be closed by now
+                sleep(Duration::from_millis(4));
+            }
+        });
+        assert_ne!(answer.as_deref(), Some("first"));
+        sleep(Duration::from_millis(40));
+    }
+}
+
 // ---- large values that stop ----
 
 /// Begins a value and falls silent; the client waits for so long. Fails unless its connection ends in time.
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::arrival::{ArrivalRecorder, FirstArrival};
 use crate::facts::{stated_time_left, with_time_left};
 use crate::forward::{self, ForwardError};
 use crate::idle_state;
@@ -44,6 +46,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     stream: Stream,
+    /// When the first byte of the answer arrived.
+    first_arrival: Arc<FirstArrival>,
 }
 
 impl Drop for OriginConnection {
@@ -62,12 +66,14 @@
         // Bounds what is buffered here while a slow client reads a large value.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
+        let first_arrival = Arc::new(FirstArrival::default());
+        let recorder = ArrivalRecorder::new(stream.clone(), first_arrival.clone());
         let (sender, connection) =
-            builder.handshake(TokioIo::new(stream.clone())).await.map_err(io::Error::other)?;
+            builder.handshake(TokioIo::new(recorder)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // the request in flight reports a failure
         });
-        Ok(OriginConnection { sender, task, stream })
+        Ok(OriginConnection { sender, task, stream, first_arrival })
     }
 }
 
@@ -92,6 +98,7 @@
         let Some(request) = request(call, target.addr, left) else {
             return (Reply::from_outcome(Outcome::Ignored), Some(self));
         };
+        self.first_arrival.clear();
         // A moment early: hyper's connection task writes the request in the poll in which it takes it up.
         target.request_written(Some(left));
         match self.sender.try_send_request(request).await {
@@ -100,7 +107,9 @@
                 Some(_) => (Reply::from_outcome(Outcome::ConnectError), None),
                 None => (Reply::from_outcome(Outcome::Reset), None),
             },
-            Ok(_) if target.may_be_duplicate_answer() => (Reply::from_outcome(Outcome::Reset), None),
+            Ok(_) if target.may_be_duplicate_answer(self.first_arrival.get()) => {
+                (Reply::from_outcome(Outcome::Reset), None)
+            }
             Ok(answer) => match read_answer(call.verb, answer, target, deadline).await {
                 Ok(reply) => (reply, Some(self)),
                 // Drops the connection: the rest of this answer could be read as the next request's answer.
