Don't trust an origin's answer that may have come while the process was stalled

What callers saw: with the process held up for 0.1 s just as an origin's second answer came, 5 ms late, the next request on that connection was served the first one's value.

Cause: an answer within 15 ms of the last is not trusted on a connection reused after 1 ms, but the time was that of the read. After a stall everything looks later than it came.

Change: until the 15 ms are over, the attempt waits for their end as well. If a byte has been read by then, or lies in the socket when that timer runs, however late it runs, the answer is not trusted. Only what comes after that is.

--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -90,10 +90,15 @@
         self.stream_starter.start(length, flags)
     }
 
-    /// Whether an answer whose first byte arrived at this time may be a duplicate of the answer to the previous request on
-    /// the connection.
-    pub fn may_be_duplicate_answer(&self, first_byte_at: Instant) -> bool {
-        first_byte_at < self.trusted_from
+    /// Whether data that arrives now may be a duplicate of the answer to the previous request on the connection.
+    pub fn may_be_duplicate_answer(&self) -> bool {
+        self.untrusted_until().is_some()
+    }
+
+    /// Until when data that arrives may be a duplicate of the answer to the previous request on the connection; `None` if
+    /// that time is over.
+    pub fn untrusted_until(&self) -> Option<Instant> {
+        Some(self.trusted_from).filter(|trusted_from| Instant::now() < *trusted_from)
     }
 
     /// Must be called when the attempt's first byte is about to be written.
--- a/crates/lilacquay/tests/answers.rs
+++ b/crates/lilacquay/tests/answers.rs
@@ -170,6 +170,23 @@
     }
 }
 
+#[test]
+fn a_slow_origins_second_answer_was_served_to_the_next_request_since_the_process_was_held_up() {
+    let site = OneCache::new();
+    let mut client = site.node.client();
+    let_origin_be_slow(&site, &mut client);
+    for _ in 0..10 {
+        let answer = answer_behind_a_slow_origins_second_one(&site, &mut client, |first, text| {
+            site.node.signal("-STOP");
+            let _ = first.try_answer(text.as_bytes()); // its connection may be closed by now
+            sleep(Duration::from_millis(100));
+            site.node.signal("-CONT");
+        });
+        assert_ne!(answer.as_deref(), Some("first"));
+        sleep(Duration::from_millis(40));
+    }
+}
+
 // ---- large values that stop ----
 
 /// Begins a value and falls silent; the client waits for so long. Fails unless its connection ends in time.
--- a/crates/upstreams/src/arrival.rs
+++ b/crates/upstreams/src/answer_watch.rs
@@ -1,51 +1,42 @@
-//! Records when the first byte of an answer arrives on a connection that another library reads.
+//! Notices that an answer begins to arrive on a connection that another library reads.
 
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use lilacquay_stream::Stream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::Instant;
 
-/// When the first byte since the last request arrived.
+/// Whether any byte has arrived since the last request.
 #[derive(Debug, Default)]
-pub(crate) struct FirstArrival(Mutex<Option<Instant>>);
+pub(crate) struct AnswerStart(AtomicBool);
 
-impl FirstArrival {
+impl AnswerStart {
     /// Forgets what has arrived.
     pub fn clear(&self) {
-        self.set(None);
+        self.0.store(false, Ordering::Relaxed);
     }
 
-    /// The time of the first arrival; now if nothing has arrived.
-    pub fn get(&self) -> Instant {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).unwrap_or_else(Instant::now)
-    }
-
-    fn record(&self) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert_with(Instant::now);
-    }
-
-    fn set(&self, arrival: Option<Instant>) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = arrival;
+    pub fn has_begun(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
     }
 }
 
-/// A connection that records arrivals.
-pub(crate) struct ArrivalRecorder {
+/// A connection that notices the start of an answer.
+pub(crate) struct AnswerWatch {
     stream: Stream,
-    first_arrival: Arc<FirstArrival>,
+    answer_start: Arc<AnswerStart>,
 }
 
-impl ArrivalRecorder {
-    pub fn new(stream: Stream, first_arrival: Arc<FirstArrival>) -> ArrivalRecorder {
-        ArrivalRecorder { stream, first_arrival }
+impl AnswerWatch {
+    pub fn new(stream: Stream, answer_start: Arc<AnswerStart>) -> AnswerWatch {
+        AnswerWatch { stream, answer_start }
     }
 }
 
-impl AsyncRead for ArrivalRecorder {
+impl AsyncRead for AnswerWatch {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -54,13 +45,13 @@
         let filled_before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         if buffer.filled().len() > filled_before {
-            self.first_arrival.record();
+            self.answer_start.0.store(true, Ordering::Relaxed);
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for ArrivalRecorder {
+impl AsyncWrite for AnswerWatch {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.stream).poll_write(cx, bytes)
     }
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -19,9 +19,9 @@
 use lilacquay_stream::Stream;
 use percent_encoding::{AsciiSet, CONTROLS, percent_encode};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
-use crate::arrival::{ArrivalRecorder, FirstArrival};
+use crate::answer_watch::{AnswerStart, AnswerWatch};
 use crate::facts::{stated_time_left, with_time_left};
 use crate::forward::{self, ForwardError};
 use crate::idle_state;
@@ -46,8 +46,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     stream: Stream,
-    /// When the first byte of the answer arrived.
-    first_arrival: Arc<FirstArrival>,
+    /// Whether an answer has begun to arrive.
+    answer_start: Arc<AnswerStart>,
 }
 
 impl Drop for OriginConnection {
@@ -66,14 +66,14 @@
         // Bounds what is buffered here while a slow client reads a large value.
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
-        let first_arrival = Arc::new(FirstArrival::default());
-        let recorder = ArrivalRecorder::new(stream.clone(), first_arrival.clone());
+        let answer_start = Arc::new(AnswerStart::default());
+        let watched = AnswerWatch::new(stream.clone(), answer_start.clone());
         let (sender, connection) =
-            builder.handshake(TokioIo::new(recorder)).await.map_err(io::Error::other)?;
+            builder.handshake(TokioIo::new(watched)).await.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
             let _ = connection.await; // the request in flight reports a failure
         });
-        Ok(OriginConnection { sender, task, stream, first_arrival })
+        Ok(OriginConnection { sender, task, stream, answer_start })
     }
 }
 
@@ -98,18 +98,34 @@
         let Some(request) = request(call, target.addr, left) else {
             return (Reply::from_outcome(Outcome::Ignored), Some(self));
         };
-        self.first_arrival.clear();
+        self.answer_start.clear();
         // A moment early: hyper's connection task writes the request in the poll in which it takes it up.
         target.request_written(Some(left));
-        match self.sender.try_send_request(request).await {
+        let sending = self.sender.try_send_request(request);
+        tokio::pin!(sending);
+        let answer = match target.untrusted_until() {
+            None => sending.await,
+            // The process may be stalled over that time. What has arrived when it runs again may have arrived before.
+            Some(until) => tokio::select! {
+                biased;
+                () = sleep_until(until) => {
+                    if self.answer_start.has_begun() || idle_state(&self.stream) == IdleState::UnsolicitedData {
+                        return (Reply::from_outcome(Outcome::Reset), None);
+                    }
+                    sending.await
+                }
+                answer = &mut sending => match answer {
+                    Ok(_) => return (Reply::from_outcome(Outcome::Reset), None),
+                    Err(error) => Err(error),
+                }
+            },
+        };
+        match answer {
             // A request that hyper hands back was never sent.
             Err(mut error) => match error.take_message() {
                 Some(_) => (Reply::from_outcome(Outcome::ConnectError), None),
                 None => (Reply::from_outcome(Outcome::Reset), None),
             },
-            Ok(_) if target.may_be_duplicate_answer(self.first_arrival.get()) => {
-                (Reply::from_outcome(Outcome::Reset), None)
-            }
             Ok(answer) => match read_answer(call.verb, answer, target, deadline).await {
                 Ok(reply) => (reply, Some(self)),
                 // Drops the connection: the rest of this answer could be read as the next request's answer.
--- a/crates/upstreams/src/lib.rs
+++ b/crates/upstreams/src/lib.rs
@@ -3,7 +3,7 @@
 //! A connection carries one request at a time, and each answer is mapped to an outcome of the protocol's table. This crate
 //! neither retries nor probes.
 
-mod arrival;
+mod answer_watch;
 pub mod facts;
 mod forward;
 pub mod http;
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -80,7 +80,7 @@
             }
             match self.0.read_buf(&mut buffer).await {
                 Ok(0) | Err(_) => return (Reply::from_outcome(Outcome::Reset), None),
-                Ok(_) if target.may_be_duplicate_answer(Instant::now()) => {
+                Ok(_) if target.may_be_duplicate_answer() => {
                     return (Reply::from_outcome(Outcome::Reset), None);
                 }
                 Ok(_) => {}
