Never discard a command that is whole and waits to be started

Cause, found by reading: a command that had come whole could stay in the buffer where the memory of open requests ran out between the read and its start. Its reservation could then be withdrawn like that of a stopped client; over RESP2 the connection would have been closed as malformed, over memcached its remaining length would have gone below nought.

Change: such a command keeps its bytes and gives up its reservation alone. The tests of the package and of stopped writes and closes pass.

--- a/crates/codec/src/memcache.rs
+++ b/crates/codec/src/memcache.rs
@@ -188,7 +188,7 @@
     body.map_or(0, |body| HEADER_BYTES.saturating_add(u32::from_be_bytes(body) as usize))
 }
 
-/// A request whose value has not arrived whole.
+/// A request whose value may not have arrived whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PartialRequest<'a> {
     /// The code of the operation.
--- a/crates/fronts/src/arriving_command.rs
+++ b/crates/fronts/src/arriving_command.rs
@@ -49,7 +49,7 @@
     pub context: R,
 }
 
-/// The command cannot be discarded, since what has arrived of it does not tell how long it is.
+/// The command cannot be discarded: it is whole, or what has arrived of it does not tell how long it is.
 pub(crate) struct UnknownLength;
 
 /// The input of one connection.
@@ -261,10 +261,11 @@
     /// Discards what has arrived of the command, and its rest as it arrives.
     ///
     /// # Errors
-    /// If the length of the command is not known.
+    /// If the command is whole, or its length is not known.
     pub fn discard<P: Protocol<ReplyContext = R>>(&mut self, protocol: &P) -> Result<(), UnknownLength> {
         self.end_wait();
-        let command = protocol.partial_command(&self.buffer).ok_or(UnknownLength)?;
+        let partial = protocol.partial_command(&self.buffer);
+        let command = partial.filter(|command| command.length > self.buffer.len()).ok_or(UnknownLength)?;
         let PartialCommand { length, class, context, .. } = command;
         debug!(length, arrived = self.buffer.len(), "a command is discarded for want of buffer memory");
         self.metrics.discarded_commands.inc();
@@ -275,6 +276,11 @@
         Ok(())
     }
 
+    /// Gives up the memory of a command that stays in the buffer.
+    pub fn release_memory(&mut self) {
+        self.memory = None;
+    }
+
     /// Drops what was read of a discarded command. Returns the command once it has arrived whole.
     pub fn drop_discarded(&mut self) -> Option<RefusedCommand<R>> {
         let command = self.discarded.as_mut()?;
--- a/crates/fronts/src/protocol.rs
+++ b/crates/fronts/src/protocol.rs
@@ -21,8 +21,8 @@
     /// [`Protocol::MAX_COMMAND_BYTES`] for anything that can be a command.
     fn expected_length(&self, buffer: &[u8]) -> usize;
 
-    /// The first command, if it is incomplete and what has arrived of it tells its length and how to refuse it. The rest
-    /// of such a command can be discarded instead of buffered.
+    /// The first command, as far as what has arrived of it tells its length and how to refuse it. The rest of such a command
+    /// can be discarded instead of buffered. May be none for a whole command.
     fn partial_command(&self, _buffer: &[u8]) -> Option<PartialCommand<Self::ReplyContext>> {
         None
     }
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -302,11 +302,17 @@
         ended
     }
 
-    /// Discards the arriving command, for which there is no memory. One that can't be refused is taken for malformed.
+    /// Discards the arriving command, for which there is no memory. One that can't be refused is taken for malformed, unless
+    /// it is whole and waits to be started.
     fn discard_command(&mut self) {
-        if self.input.discard(&self.protocol).is_err() {
+        if self.input.discard(&self.protocol).is_ok() {
+            return;
+        }
+        if self.may_start_command() {
             let response = self.reject_malformed();
             self.responses.push_back(response);
+        } else {
+            self.input.release_memory();
         }
     }
 
