--- a/crates/lilacquay/tests/closing.rs
+++ b/crates/lilacquay/tests/closing.rs
@@ -183,6 +183,15 @@
     assert_eq!(come, answer_bytes(), "cut off: {how}");
 }
 
+/// Reads a large answer from a connection that the node has closed, while commands are sent.
+#[track_caller]
+fn assert_arrives_whole(client: Client, sends: Sends, how: &str) {
+    let sending = send_meanwhile(&client, sends);
+    assert_whole(read_steadily(&client, answer_bytes()), how);
+    drop(client);
+    sending.join().unwrap();
+}
+
 #[test]
 fn an_answer_was_reset_by_the_close_behind_it_while_the_process_ended() {
     for sends in [Sends::One, Sends::Many] {
@@ -193,10 +202,7 @@
         sleep(100 * MS);
         ask(&mut client, "large", "large");
         site.wait_until_closed_for("shutting_down");
-        let sending = send_meanwhile(&client, sends);
-        assert_whole(read_steadily(&client, answer_bytes()), "closed after the answer");
-        drop(client);
-        sending.join().unwrap();
+        assert_arrives_whole(client, sends, "closed after the answer");
     }
 }
 
@@ -208,10 +214,7 @@
     site.wait_until_passed(1);
     site.node.terminate();
     site.wait_until_closed_for("shutting_down");
-    let sending = send_meanwhile(&client, Sends::Many);
-    assert_whole(read_steadily(&client, answer_bytes()), "closed as idle");
-    drop(client);
-    sending.join().unwrap();
+    assert_arrives_whole(client, Sends::Many, "closed as idle");
     assert!(site.node.exit());
 }
 
@@ -224,10 +227,7 @@
     sleep(400 * MS);
     ask(&mut client, "large", "large");
     site.wait_until_closed_for("shutting_down");
-    let sending = send_meanwhile(&client, Sends::Many);
-    assert_whole(read_steadily(&client, answer_bytes()), "closed after the answer, the node leaving");
-    drop(client);
-    sending.join().unwrap();
+    assert_arrives_whole(client, Sends::Many, "closed after the answer, the node leaving");
 }
 
 #[test]
@@ -243,10 +243,7 @@
         assert_eq!(other.answer().as_deref(), Some("v"));
         resting.push(other);
     }
-    let sending = send_meanwhile(&client, Sends::Many);
-    assert_whole(read_steadily(&client, answer_bytes()), "evicted");
-    drop(client);
-    sending.join().unwrap();
+    assert_arrives_whole(client, Sends::Many, "evicted");
 }
 
 fn client_is_evicted(site: &Site) -> bool {
@@ -263,10 +260,7 @@
     site.wait_until_passed(1);
     site.node.terminate();
     site.wait_until_closed_for("shutting_down");
-    let sending = send_meanwhile(&client, Sends::Many);
-    assert_whole(read_steadily(&client, answer_bytes()), "closed as idle, another process serving");
-    drop(client);
-    sending.join().unwrap();
+    assert_arrives_whole(client, Sends::Many, "closed as idle, another process serving");
     assert!(site.node.exit());
 }
 
@@ -290,12 +284,11 @@
 fn an_answer_was_reset_by_the_end_of_the_process() {
     let mut site = Site::new(1024, None);
     let mut client = site.node.client();
-    client.ping();
+    // Asked before, since an idle connection is closed in the meantime.
+    client.send(&["CACHE.GET", "large", "large", "c=read,d=60000"]);
+    let mut call = site.call();
     site.node.terminate();
     let terminated_at = Instant::now();
-    sleep(500 * MS);
-    ask(&mut client, "large", "large");
-    let mut call = site.call();
     // Within the last 0.1 s in which the process reads; it ends 0.45 s after the longest deadline.
     sleep((terminated_at + LONGEST_DEADLINE + 330 * MS).saturating_duration_since(Instant::now()));
     call.answer(large_answer());
@@ -320,12 +313,11 @@
 fn a_value_that_still_flowed_was_cut_off_before_the_process_could_be_killed() {
     let mut site = Site::new(1024, None);
     let mut client = site.node.client();
-    client.ping();
+    // Asked before, since an idle connection is closed in the meantime.
+    client.send(&["CACHE.GET", "large", "large", "c=read,d=60000"]);
+    let mut call = site.call();
     site.node.terminate();
     let terminated_at = Instant::now();
-    sleep(500 * MS);
-    ask(&mut client, "large", "large");
-    let mut call = site.call();
     let whole_at = terminated_at + LONGEST_DEADLINE + 560 * MS;
     let giving = thread::spawn(move || {
         let answer = large_answer();
