--- a/crates/lilacquay/tests/closing.rs
+++ b/crates/lilacquay/tests/closing.rs
@@ -293,14 +293,16 @@
     sleep((terminated_at + LONGEST_DEADLINE + 330 * MS).saturating_duration_since(Instant::now()));
     call.answer(large_answer());
     let sending = send_meanwhile(&client, Sends::Many);
-    let mut stream = client.stream();
+    // Read evenly until shortly before the platform may kill.
+    let (begun, mut stream) = (Instant::now(), client.stream());
+    let reading_time = (terminated_at + LONGEST_DEADLINE + 560 * MS).saturating_duration_since(begun);
     let (mut buffer, mut come) = (vec![0; READ_BYTES], 0);
     while let Ok(read) = stream.read(&mut buffer)
         && read > 0
-        && come < answer_bytes()
     {
         come += read;
-        sleep(5 * MS); // whole 0.2 s later, before the platform may kill
+        let due = begun + reading_time.mul_f64(come as f64 / answer_bytes() as f64);
+        sleep(due.saturating_duration_since(Instant::now()));
     }
     assert_whole(come.min(answer_bytes()), "the process ended");
     drop((client, stream));
