Log debug lines when the level is debug

Seen while tracing a red test: with level = "debug" a node wrote info lines alone, so that none of the per-request and per-close lines that incidents are traced with ever came out. Cause: tracing-subscriber's and_then over the registry takes the outer layer's level hint (info, of the event log) as that of both. The two layers are added to the registry one by one now. Test: nothing_was_logged_at_debug_though_that_level_was_set; before the fix the line never came (the run did not end by itself, since logged_until had a time limit for each line and none for all; it has one for all now). With the fix it passes.

--- a/crates/lilacquay/src/logging.rs
+++ b/crates/lilacquay/src/logging.rs
@@ -87,8 +87,8 @@
     };
     let events = EventLog::new();
     let event_layer = EventLayer(events.clone()).with_filter(target_filter(Level::INFO));
-    let subscriber = tracing_subscriber::registry().with(lines.and_then(event_layer));
-    subscriber.try_init().map_err(io::Error::other)?;
+    // Not joined by `and_then`, which would take the events' level for the most verbose one of both layers.
+    tracing_subscriber::registry().with(lines).with(event_layer).try_init().map_err(io::Error::other)?;
     Ok(Logging { events, level_filter, _writer_guard: guard })
 }
 
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -487,9 +487,9 @@
     /// Waits for a line of the log with these words; tells all lines up to it.
     pub fn logged_until(&self, words: &str) -> Vec<String> {
         let log = self.log.as_ref().expect("a log that is read");
-        let mut seen = Vec::new();
+        let (mut seen, start) = (Vec::new(), Instant::now());
         loop {
-            match log.recv_timeout(PATIENCE) {
+            match log.recv_timeout(PATIENCE.saturating_sub(start.elapsed())) {
                 Ok(line) => {
                     seen.push(line);
                     if seen.last().is_some_and(|line| line.contains(words)) {
