Answer both reads before waiting for either in a shutdown test

Traced with debug lines: both reads behind the write are received and begun at the cache within 0.3 ms of one another, on two connections; the stand-in reads each connection on its own thread, so the second may come first. The test answered the call that came first and then waited for the client's first answer, which was the other call's: that one stayed unanswered until its time was up (1.696 s) and was refused in time. Neither a lost answer nor a wrong refusal, but the test.

--- a/crates/lilacquay/tests/shutdown.rs
+++ b/crates/lilacquay/tests/shutdown.rs
@@ -151,8 +151,11 @@
     sleep_until(told + Duration::from_millis(1100));
     store.http("200 OK", "receipt");
     assert_eq!(client.answer().as_deref(), Some("receipt"));
+    // The two come on connections of their own, in either order: both are answered before an answer is awaited.
+    for call in [site.cache.call(), site.cache.call()] {
+        call.value("v");
+    }
     for _ in 0..2 {
-        site.cache.call().value("v");
         assert_eq!(client.answer().as_deref(), Some("v"), "what lay behind the write was closed on");
     }
     assert!(site.node.exit());
