--- a/crates/lilacquay/tests/answers.rs
+++ b/crates/lilacquay/tests/answers.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use common::*;
-use lilacquay_codec::memcache::{HEADER_BYTES, Opcode, Packet, Status};
 
 /// A final answer is due so long after the client's time is up, and what sockets allow beyond it.
 const FINAL_ANSWER: Duration = Duration::from_millis(500 + 50);
@@ -17,12 +16,6 @@
 /// A value that flows, in bytes.
 const LARGE: usize = 999_999;
 
-/// Reads until the connection ends; tells how many bytes came, and when it ended.
-fn read_to_end(client: &mut Client) -> (usize, Instant) {
-    let read = client.read_to_end();
-    (read, Instant::now())
-}
-
 // ---- answers that come twice ----
 
 /// Asks twice in a row; the first answer comes once more, so long after it. Tells the second answer, unless the machine was
@@ -187,73 +180,7 @@
     }
 }
 
-// ---- large values that stop ----
-
-/// Begins a value and falls silent; the client waits for so long. Fails unless its connection ends in time.
-fn assert_ends_in_time(mut client: Client, sent: Instant, wait: Duration) {
-    let (read, ended) = read_to_end(&mut client);
-    assert!(read > 100, "its head and what came of it were passed on");
-    let took = ended.duration_since(sent);
-    assert!(took >= wait, "cut off before its time was up: {took:?}");
-    assert!(took <= wait + FINAL_ANSWER, "held for {took:?}");
-}
-
-const SHORT: Duration = Duration::from_millis(400);
-
-#[test]
-fn a_client_was_held_for_seconds_by_a_caches_value_that_stopped_in_the_middle() {
-    let site = OneCache::new();
-    let mut client = site.node.client();
-    let sent = Instant::now();
-    client.get("k", "c=read,d=400");
-    let mut call = site.cache.call();
-    call.answer(value_head(LARGE) + &"x".repeat(100));
-    assert_ends_in_time(client, sent, SHORT);
-}
-
-#[test]
-fn a_client_was_held_for_seconds_by_an_origins_value_that_stopped_in_the_middle() {
-    let site = OneCache::new();
-    let mut client = site.node.client();
-    let sent = Instant::now();
-    client.get("k", "c=read,d=400");
-    site.cache.call().miss();
-    let mut fetch = site.origin.call();
-    fetch.answer(format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n{}", "x".repeat(100)));
-    assert_ends_in_time(client, sent, SHORT);
-}
-
-#[test]
-fn a_client_was_held_for_seconds_by_a_memcached_value_that_stopped_in_the_middle() {
-    let (node, cache, _others) = memcached_node();
-    let mut client = node.client();
-    let sent = Instant::now();
-    client.get("k", "c=read,d=400");
-    let mut call = cache.call();
-    let (extras, value) = (vec![0; 4].into(), vec![b'x'; LARGE].into());
-    let opcode = Opcode::Get as u8;
-    let whole =
-        Packet { opcode, opaque: call.opaque(), status: Status::OK.0, extras, value, ..Packet::default() };
-    call.answer(&response(&whole)[..HEADER_BYTES + 200]);
-    assert_ends_in_time(client, sent, SHORT);
-}
-
-/// A node whose one cache speaks memcached, and what stands round it.
-fn memcached_node() -> (Node, Fake, (Fake, Fake, tempfile::TempDir)) {
-    let (cache, origin, discovery) = (Fake::memcached(), Fake::http(), Fake::http());
-    let folder = tempfile::tempdir().unwrap();
-    let file = |name: &str, text: &str| std::fs::write(folder.path().join(name), text).unwrap();
-    let known = list(41, &[("s-1", cache.addr)], origin.addr);
-    let discovery_addr = discovery.addr;
-    let config = format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_addr}","seed":"8c1f30d27a5be964","limits":{{"sockets":1024,"memory_mb":192}},"known":{known},"settings":{SETTINGS}}}"#,
-    );
-    file("node.json", &config);
-    file("memcached.toml", "[boxes]\nkinds = [\"m\"]\n");
-    file("serve.toml", "node = \"node.json\"\nmemcached = \"memcached.toml\"\n");
-    let node = Node::serving(folder.path());
-    (node, cache, (origin, discovery, folder))
-}
+// ---- large values that stop, beside tests/slow_servers.rs ----
 
 #[test]
 fn a_value_that_came_slowly_past_its_time_was_cut_off() {
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -674,6 +674,31 @@
     }
 }
 
+/// A node whose one cache speaks memcached, and what stands round it.
+pub struct OneMemcached {
+    pub cache: Fake,
+    pub node: Node,
+    _others: (Fake, Fake, tempfile::TempDir),
+}
+
+impl OneMemcached {
+    pub fn new() -> OneMemcached {
+        let (cache, origin, discovery) = (Fake::memcached(), Fake::http(), Fake::http());
+        let folder = tempfile::tempdir().unwrap();
+        let file = |name: &str, text: &str| std::fs::write(folder.path().join(name), text).unwrap();
+        let known = list(41, &[("s-1", cache.addr)], origin.addr);
+        let discovery_addr = discovery.addr;
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_addr}","seed":"8c1f30d27a5be964","limits":{{"sockets":1024,"memory_mb":192}},"known":{known},"settings":{SETTINGS}}}"#,
+        );
+        file("node.json", &config);
+        file("memcached.toml", "[boxes]\nkinds = [\"m\"]\n");
+        file("serve.toml", "node = \"node.json\"\nmemcached = \"memcached.toml\"\n");
+        let node = Node::serving(folder.path());
+        OneMemcached { cache, node, _others: (origin, discovery, folder) }
+    }
+}
+
 /// The head of a cache's answer with a value of so many bytes.
 pub fn value_head(length: usize) -> String {
     format!("*3\r\n${length}\r\n")
