Let a begun value go on however long its server pauses, up to 5 s of silence

Callers saw values of 130 to 200 KB cut off (unexpected EOF) while their servers still wrote them. Cause: value_read_deadline gave a value up 0.4 s after its client's time if it had no new bytes then (less the answer margin of 5 ms: every cut of the evidence came 0.394 to 0.396 s after the client's time), and after 1 s without bytes from then on. Change: a value that its client has seen begin ends once its server has been silent for 5 s, at caches of both protocols and the origin alike. A value that is collected before other answers has not begun for its client: it gets its final answer 0.4 s after the client's time or after 1.9 s without bytes, decided by the session, and begins at the client's time (not after a whole second) where bytes come. Why it works: the limit no longer refers to the client's time, which says nothing about the server; silence does.

--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use lilacquay_metrics::{Metrics, RequestOutcome, Rule};
@@ -76,11 +77,20 @@
         let reservation = MemoryReservation::new(REQUEST_OVERHEAD_BYTES + bytes, &self.reserved_bytes);
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
+        let client_deadline = received_at + Duration::from_micros(call.client_timeout());
         let request = NewRequest { id, call: Arc::new(call), received_at, answer: sender };
         // A driver that has ended drops the sender, and the request ends as failed.
         let _ = self.driver.send(Message::RequestOpened(request));
         let driver = self.driver.clone();
-        Ok(PendingAnswer { id, answer, answered: false, driver, open_id, _reservation: reservation })
+        Ok(PendingAnswer {
+            id,
+            client_deadline,
+            answer,
+            answered: false,
+            driver,
+            open_id,
+            _reservation: reservation,
+        })
     }
 
     /// The metrics of the node.
@@ -121,6 +131,7 @@
 /// disconnected, so that a front end which ends leaves no request open.
 pub struct PendingAnswer {
     id: RequestId,
+    client_deadline: Instant,
     answer: oneshot::Receiver<Answer>,
     answered: bool,
     driver: UnboundedSender<Message>,
@@ -129,6 +140,11 @@
 }
 
 impl PendingAnswer {
+    /// When the client's time-out expires.
+    pub fn client_deadline(&self) -> Instant {
+        self.client_deadline
+    }
+
     /// The answer, if it has arrived.
     pub fn try_answer(&mut self) -> Option<Answer> {
         let answer = match self.answer.try_recv() {
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -5,13 +5,15 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use lilacquay_core::time_left::unstarted_value_read_deadline;
 use lilacquay_core::{Answer, PendingAnswer, Requests, ValueStream};
 use tokio::time::{Instant, timeout};
 
 use crate::buffer_memory::ReservedMemory;
 
-/// How long a large value ahead of other responses is buffered. From then on it is forwarded as it arrives, since a
-/// client may not be prepared to wait 2 s for the rest of the value from the server.
+/// How long a large value ahead of other responses is buffered at most. Once it is buffered for that long or its client's
+/// time-out has expired, it is forwarded as soon as more of it arrives, since a client may not be prepared to wait 2 s for
+/// the rest of the value from the server.
 const VALUE_BUFFERING_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often buffering checks whether the process is about to end.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -49,7 +51,9 @@
 pub(crate) struct BufferedValue<R> {
     pending: PendingAnswer,
     value: LargeValue<R>,
+    /// From when on the value is forwarded as it arrives.
     until: Instant,
+    last_received_at: Instant,
     _memory: ReservedMemory,
 }
 
@@ -62,22 +66,28 @@
         memory: ReservedMemory,
     ) -> Self {
         let value = LargeValue { context, value_stream, buffered: BytesMut::new() };
-        BufferedValue { pending, value, until: Instant::now() + VALUE_BUFFERING_TIMEOUT, _memory: memory }
+        let now = Instant::now();
+        let until = pending.client_deadline().min(now + VALUE_BUFFERING_TIMEOUT);
+        BufferedValue { pending, value, until, last_received_at: now, _memory: memory }
     }
 
     /// Waits until the value is to be forwarded or has failed. Cancel safe.
     async fn fill(&mut self, requests: &Requests) -> BufferingResult {
         let LargeValue { value_stream, buffered, .. } = &mut self.value;
         while buffered.len() < value_stream.length() {
+            let read_deadline =
+                unstarted_value_read_deadline(self.last_received_at, self.pending.client_deadline());
             match timeout(SHUTDOWN_CHECK_INTERVAL, value_stream.next()).await {
                 Ok(Some(piece)) => buffered.extend_from_slice(&piece.bytes),
                 Ok(None) => return BufferingResult::Truncated,
                 // The process is about to end: the value is given up so that the responses behind it are still written.
                 Err(_) if requests.is_shutting_down() => return BufferingResult::Truncated,
-                // A stalled value fails by its own stall timeout; until then nothing of it is forwarded.
+                // Its client has received nothing of it, so that its final answer is due.
+                Err(_) if Instant::now() >= read_deadline => return BufferingResult::Truncated,
                 Err(_) => continue,
             }
-            if Instant::now() >= self.until {
+            self.last_received_at = Instant::now();
+            if self.last_received_at >= self.until {
                 break;
             }
         }
--- a/crates/upstreams/src/forward.rs
+++ b/crates/upstreams/src/forward.rs
@@ -39,7 +39,6 @@
     stream: &mut (impl AsyncRead + Unpin),
     received: &mut BytesMut,
     feeder: &mut ValueSender,
-    deadline: Instant,
 ) -> Result<(), ForwardError> {
     while feeder.remaining() > 0 {
         let room = feeder.reserve().await?;
@@ -47,7 +46,7 @@
             // Each piece has a buffer of its own, freed with the piece, and with no more capacity than was granted.
             let mut piece = BytesMut::with_capacity(room.bytes());
             let mut limited = (&mut *stream).take(room.bytes() as u64);
-            if read_until_timeout(deadline, limited.read_buf(&mut piece)).await? == 0 {
+            if read_until_timeout(limited.read_buf(&mut piece)).await? == 0 {
                 return Err(ForwardError::ServerFailed);
             }
             *received = piece;
@@ -75,12 +74,11 @@
     Ok(feeder.send(piece, room)?)
 }
 
-/// Waits for bytes of a value whose client stops waiting at the deadline.
+/// Waits for bytes of a value from a server that has sent some of it.
 pub(crate) async fn read_until_timeout<T>(
-    deadline: Instant,
     read: impl Future<Output = io::Result<T>>,
 ) -> Result<T, ForwardError> {
-    match timeout_at(value_read_deadline(Instant::now(), deadline), read).await {
+    match timeout_at(value_read_deadline(Instant::now()), read).await {
         Ok(Ok(read)) => Ok(read),
         Ok(Err(_)) | Err(_) => Err(ForwardError::ServerFailed),
     }
--- a/crates/upstreams/src/http.rs
+++ b/crates/upstreams/src/http.rs
@@ -126,7 +126,7 @@
                 Some(_) => (Reply::from_outcome(Outcome::ConnectError), None),
                 None => (Reply::from_outcome(Outcome::Reset), None),
             },
-            Ok(answer) => match read_answer(call.verb, answer, target, deadline).await {
+            Ok(answer) => match read_answer(call.verb, answer, target).await {
                 Ok(reply) => (reply, Some(self)),
                 // Drops the connection: the rest of this answer could be read as the next request's answer.
                 Err(outcome) => (Reply::from_outcome(outcome), None),
@@ -166,17 +166,12 @@
 }
 
 /// Forwards a large value. Its connection can be reused after the last byte.
-async fn forward_body(
-    mut body: Incoming,
-    mut feeder: ValueSender,
-    deadline: Instant,
-) -> Result<Reply, ForwardError> {
+async fn forward_body(mut body: Incoming, mut feeder: ValueSender) -> Result<Reply, ForwardError> {
     while feeder.remaining() > 0 {
         let room = feeder.reserve().await?;
-        let frame = forward::read_until_timeout(deadline, async {
-            body.frame().await.transpose().map_err(io::Error::other)
-        })
-        .await?;
+        let frame =
+            forward::read_until_timeout(async { body.frame().await.transpose().map_err(io::Error::other) })
+                .await?;
         match frame.map(|frame| frame.into_data()) {
             Some(Ok(bytes)) => feeder.send(bytes, room)?,
             Some(Err(_trailers)) => {}
@@ -187,12 +182,7 @@
 }
 
 /// Reads an answer and maps it to a reply; an error if its connection cannot be reused.
-async fn read_answer(
-    verb: Verb,
-    answer: Response<Incoming>,
-    target: &Target,
-    deadline: Instant,
-) -> Result<Reply, Outcome> {
+async fn read_answer(verb: Verb, answer: Response<Incoming>, target: &Target) -> Result<Reply, Outcome> {
     let (status, headers) = (answer.status(), answer.headers());
     let flags = headers.get("X-Flags").and_then(|v| v.to_str().ok()?.parse().ok()).unwrap_or(0);
     let unprocessed = headers.get("X-Unprocessed").is_some_and(|v| v == "1");
@@ -200,7 +190,7 @@
         && let Some(length) = large_value_length(&answer)
     {
         let feeder = target.begin_stream(length, flags);
-        return forward_body(answer.into_body(), feeder, deadline).await.map_err(ForwardError::outcome);
+        return forward_body(answer.into_body(), feeder).await.map_err(ForwardError::outcome);
     }
     let body = match Limited::new(answer.into_body(), MAX_BUFFERED_VALUE_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/upstreams/src/memcache.rs
+++ b/crates/upstreams/src/memcache.rs
@@ -55,7 +55,7 @@
         mut self,
         call: &Call,
         target: &Target,
-        deadline: Instant,
+        _deadline: Instant,
     ) -> (Reply, Option<Self>) {
         // A key that is too long for the protocol: nothing is sent.
         if call.key.len() > MAX_KEY_BYTES {
@@ -73,7 +73,7 @@
             if let Some(head) =
                 parse_response_header(&buffer).filter(|head| self.is_large_value(call.verb, head))
             {
-                return self.forward_large_value(buffer, head, target, deadline).await;
+                return self.forward_large_value(buffer, head, target).await;
             }
             match next_response(&mut buffer, MAX_BODY_BYTES) {
                 Ok(Some(answer)) => {
@@ -113,17 +113,16 @@
         mut received: BytesMut,
         head: ResponseHeader,
         target: &Target,
-        deadline: Instant,
     ) -> (Reply, Option<Self>) {
         while received.len() < HEADER_BYTES + FLAGS_BYTES {
-            if !matches!(read_until_timeout(deadline, self.stream.read_buf(&mut received)).await, Ok(1..)) {
+            if !matches!(read_until_timeout(self.stream.read_buf(&mut received)).await, Ok(1..)) {
                 return (Reply::from_outcome(Outcome::Reset), None);
             }
         }
         received.advance(HEADER_BYTES);
         let flags = received.get_u32();
         let mut feeder = target.begin_stream(head.value_length, flags);
-        match forward_value(&mut self.stream, &mut received, &mut feeder, deadline).await {
+        match forward_value(&mut self.stream, &mut received, &mut feeder).await {
             Err(error) => (Reply::from_outcome(error.outcome()), None),
             Ok(()) => (
                 Reply { cache_hit: Some(true), ..Reply::from_outcome(Outcome::Ok) },
--- a/crates/upstreams/src/resp.rs
+++ b/crates/upstreams/src/resp.rs
@@ -67,7 +67,7 @@
                 .filter(|(_, n)| *n <= MAX_STREAMED_VALUE_BYTES)
             {
                 buffer.advance(head);
-                return self.forward_large_value(buffer, target.begin_stream(length, 0), deadline).await;
+                return self.forward_large_value(buffer, target.begin_stream(length, 0)).await;
             }
             match next_frame(&mut buffer, MAX_FRAME_BYTES) {
                 Ok(Some(frame)) => {
@@ -95,14 +95,13 @@
         mut self,
         mut received: BytesMut,
         mut feeder: ValueSender,
-        deadline: Instant,
     ) -> (Reply, Option<Self>) {
-        if let Err(error) = forward_value(&mut self.0, &mut received, &mut feeder, deadline).await {
+        if let Err(error) = forward_value(&mut self.0, &mut received, &mut feeder).await {
             return (Reply::from_outcome(error.outcome()), None);
         }
         drop(feeder); // the client has the whole value, whatever the trailer says
         let served = |hit| Reply { cache_hit: hit, ..Reply::from_outcome(Outcome::Ok) };
-        match self.read_trailer(&mut received, deadline).await {
+        match self.read_trailer(&mut received).await {
             Ok(hit) => (served(hit), received.is_empty().then_some(self)),
             Err(_) => (served(None), None),
         }
@@ -110,11 +109,7 @@
 
     /// Reads the trailer of a large value: the end of its line, the read result and the load report. Returns whether the
     /// read was a hit, if the cache tells.
-    async fn read_trailer(
-        &mut self,
-        received: &mut BytesMut,
-        deadline: Instant,
-    ) -> Result<Option<bool>, Malformed> {
+    async fn read_trailer(&mut self, received: &mut BytesMut) -> Result<Option<bool>, Malformed> {
         let (mut frames, mut line_ended) = (Vec::new(), false);
         loop {
             if !line_ended && received.len() >= 2 {
@@ -133,7 +128,7 @@
             if let [result, _load_report] = &frames[..] {
                 return parse_hit(result);
             }
-            if !matches!(read_until_timeout(deadline, self.0.read_buf(received)).await, Ok(1..)) {
+            if !matches!(read_until_timeout(self.0.read_buf(received)).await, Ok(1..)) {
                 return Err(Malformed);
             }
         }
