Count collected values and waiting answers towards the memory that clients may hold

400 clients that ask for four values of 3 MiB each and read nothing took a node of 192 MB to 435 MB (from caches) and 585 MB (from the origin). Cause: a large value before other answers is collected in memory reserved from a pool, and the reservation was dropped as the value began to be written, while its 3 MiB stayed until the client took them; the next client got the same memory. Change: the reservation goes along with the collected bytes until they are written; values have a pool of their own, so that slow readers keep no long command from being read; answers count from their arrival, and each open request reserves what answers have lately come to (core/src/request_memory.rs). A value is collected in one piece of its length, not in a buffer that doubles.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -176,6 +176,16 @@
     Failed,
 }
 
+impl Answer {
+    /// The bytes of memory that the answer occupies until its client takes it. A stream counts them itself.
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            Answer::Served(OperationResult::Value { bytes, .. }) => bytes.len(),
+            Answer::Served(_) | Answer::Streaming(_) | Answer::Busy(_) | Answer::Failed => 0,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -18,8 +18,8 @@
 use paddlefold::{
     Action, Balancer, Event, Learned, ListScope, Micros, Outcome, Request, RequestId, ServerId, TimerToken,
 };
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::{DelayQueue, delay_queue};
@@ -38,7 +38,7 @@
 use crate::overrides::{OverriddenList, ServerStatus};
 use crate::permit::{ClientLeftAt, PermitRequest};
 use crate::request_log::{RequestLog, answer_kind};
-use crate::requests::Requests;
+use crate::requests::{AnswerSender, Requests};
 use crate::resource_share::ResourceShare;
 use crate::stall;
 use crate::upstream::{Reply, Upstream};
@@ -84,7 +84,7 @@
     /// Identifies the call to the quotas when it ends.
     quota_ticket: Option<Ticket>,
     /// Taken by the final answer.
-    answer: Option<oneshot::Sender<Answer>>,
+    answer: Option<AnswerSender>,
     /// When the client's time-out expires, less [`ANSWER_MARGIN_US`].
     deadline: Instant,
     /// Set once the client has disconnected.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 mod overrides;
 mod permit;
 mod request_log;
+pub mod request_memory;
 mod requests;
 mod resource_exhaustion;
 mod resource_share;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -11,9 +11,10 @@
 use tokio::time::Instant;
 
 use crate::admission::Admission;
-use crate::call::{Answer, Call};
+use crate::call::Call;
 use crate::list::ServerList;
 use crate::overrides::{OrdersInForce, ServerStatus};
+use crate::requests::AnswerSender;
 
 /// A message to the driver.
 ///
@@ -91,7 +92,7 @@
     pub call: Arc<Call>,
     /// When the request's last byte was read.
     pub received_at: Instant,
-    pub answer: oneshot::Sender<Answer>,
+    pub answer: AnswerSender,
 }
 
 /// The state that one process hands over to its successor.
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -17,9 +17,10 @@
 
 use crate::call::{Answer, Call};
 use crate::message::{Message, NewRequest};
+use crate::request_memory::{MemoryReservation, RequestMemory};
 use crate::resource_share::ResourceShare;
 
-/// The estimated memory that an open request occupies in addition to its command.
+/// The estimated memory that an open request occupies in addition to its command and its answer.
 const REQUEST_OVERHEAD_BYTES: usize = 4 << 10;
 
 /// Opens requests; shared by all front ends.
@@ -28,10 +29,7 @@
     driver: UnboundedSender<Message>,
     next_id: Arc<AtomicU32>,
     open_ids: Arc<Mutex<HashSet<Bytes>>>,
-    /// The memory that open requests hold.
-    reserved_bytes: Arc<AtomicUsize>,
-    memory_limit_bytes: usize,
-    resource_share: ResourceShare,
+    memory: RequestMemory,
     metrics: Metrics,
     /// Set once no more requests are accepted.
     shutting_down: Arc<AtomicBool>,
@@ -49,17 +47,9 @@
         metrics: Metrics,
         shutting_down: Arc<AtomicBool>,
     ) -> Self {
-        let (next_id, open_ids, reserved_bytes) = Default::default();
-        Requests {
-            driver,
-            next_id,
-            open_ids,
-            reserved_bytes,
-            memory_limit_bytes,
-            resource_share,
-            metrics,
-            shutting_down,
-        }
+        let (next_id, open_ids) = Default::default();
+        let memory = RequestMemory::new(memory_limit_bytes, resource_share);
+        Requests { driver, next_id, open_ids, memory, metrics, shutting_down }
     }
 
     /// Opens a request whose last byte was read at `received_at` and whose command is `bytes` long.
@@ -74,11 +64,16 @@
         bytes: usize,
     ) -> Result<PendingAnswer, DuplicateRequestId> {
         let open_id = OpenIdGuard::acquire(&call.id, &self.open_ids).ok_or(DuplicateRequestId)?;
-        let reservation = MemoryReservation::new(REQUEST_OVERHEAD_BYTES + bytes, &self.reserved_bytes);
+        let reservation = Arc::new(self.memory.reserve(REQUEST_OVERHEAD_BYTES + bytes));
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, answer) = oneshot::channel();
         let client_deadline = received_at + Duration::from_micros(call.client_timeout());
-        let request = NewRequest { id, call: Arc::new(call), received_at, answer: sender };
+        let request = NewRequest {
+            id,
+            call: Arc::new(call),
+            received_at,
+            answer: AnswerSender { sender, memory: reservation.clone() },
+        };
         // A driver that has ended drops the sender, and the request ends as failed.
         let _ = self.driver.send(Message::RequestOpened(request));
         let driver = self.driver.clone();
@@ -120,10 +115,28 @@
         self.shutting_down.load(Ordering::Relaxed)
     }
 
-    /// Whether open requests leave memory for more. A front end should read on only then, except for one request of
-    /// each connection.
+    /// Whether open requests and their answers leave memory for more. A front end should read on only then, except for
+    /// one request of each connection.
     pub fn has_memory(&self) -> bool {
-        self.reserved_bytes.load(Ordering::Relaxed) < self.resource_share.of(self.memory_limit_bytes)
+        self.memory.has_free()
+    }
+}
+
+/// Sends the final answer to an open request.
+#[derive(Debug)]
+pub(crate) struct AnswerSender {
+    sender: oneshot::Sender<Answer>,
+    memory: Arc<MemoryReservation>,
+}
+
+impl AnswerSender {
+    /// Sends the answer, whose memory counts until the client takes it.
+    ///
+    /// # Errors
+    /// If nobody waits for the answer any longer.
+    pub fn send(self, answer: Answer) -> Result<(), Answer> {
+        self.memory.record_answer(answer.buffered_bytes());
+        self.sender.send(answer)
     }
 }
 
@@ -136,7 +149,7 @@
     answered: bool,
     driver: UnboundedSender<Message>,
     open_id: OpenIdGuard,
-    _reservation: MemoryReservation,
+    _reservation: Arc<MemoryReservation>,
 }
 
 impl PendingAnswer {
@@ -195,22 +208,3 @@
         self.open_ids.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
     }
 }
-
-/// The memory that one open request holds, released on drop.
-struct MemoryReservation {
-    bytes: usize,
-    total_bytes: Arc<AtomicUsize>,
-}
-
-impl MemoryReservation {
-    fn new(bytes: usize, total_bytes: &Arc<AtomicUsize>) -> MemoryReservation {
-        total_bytes.fetch_add(bytes, Ordering::Relaxed);
-        MemoryReservation { bytes, total_bytes: total_bytes.clone() }
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        self.total_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/crates/fronts/src/buffer_memory.rs
+++ b/crates/fronts/src/buffer_memory.rs
@@ -1,5 +1,5 @@
-//! The memory for long commands and large values that all connections share, in two [pools](BufferPool): short commands
-//! do not wait for long ones.
+//! The memory for long commands and large values that all connections share, in three [pools](BufferPool): short
+//! commands do not wait for long ones, and no command waits for a client that reads a large value slowly.
 
 use std::collections::HashMap;
 use std::future::pending;
@@ -21,16 +21,24 @@
 /// The memory for long commands and large values.
 pub(crate) struct BufferMemory {
     short_commands: Arc<SharedPool>,
-    /// Commands longer than [`SHORT_COMMAND_BYTES`], and values.
+    /// Commands longer than [`SHORT_COMMAND_BYTES`].
     long_commands: Arc<SharedPool>,
+    /// Large values that are collected before other answers, until their clients have taken what was collected. As many
+    /// bytes as for long commands, on top of what commands have.
+    values: Arc<SharedPool>,
 }
 
 impl BufferMemory {
-    /// Divides this many bytes.
+    /// Divides this many bytes among commands.
     pub fn new(bytes: usize, metrics: &BufferMetrics) -> BufferMemory {
         let short_bytes = bytes / SHORT_COMMAND_DIVISOR;
         let pool = |bytes| Arc::new(SharedPool::new(bytes, metrics.clone()));
-        BufferMemory { short_commands: pool(short_bytes), long_commands: pool(bytes - short_bytes) }
+        let long_bytes = bytes - short_bytes;
+        BufferMemory {
+            short_commands: pool(short_bytes),
+            long_commands: pool(long_bytes),
+            values: pool(long_bytes),
+        }
     }
 
     /// Asks for memory for a command of this length, of which `arrived_bytes` have arrived.
@@ -47,8 +55,8 @@
     /// Reserves memory for a value, if there is some now.
     pub fn try_reserve_value(&self, bytes: usize) -> Option<ReservedMemory> {
         let now = Instant::now();
-        let id = self.long_commands.change(now, |pool| pool.try_reserve(now, bytes))?;
-        Some(ReservedMemory::new(self.long_commands.clone(), id, bytes))
+        let id = self.values.change(now, |pool| pool.try_reserve(now, bytes))?;
+        Some(ReservedMemory::new(self.values.clone(), id, bytes))
     }
 }
 
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -43,6 +43,8 @@
     pub value_stream: ValueStream,
     /// The bytes that have arrived and are not forwarded yet.
     pub buffered: BytesMut,
+    /// The memory of these bytes; none if the value is forwarded from its first byte on.
+    pub memory: Option<ReservedMemory>,
 }
 
 /// A large value that is buffered before it is forwarded.
@@ -54,7 +56,6 @@
     /// From when on the value is forwarded as it arrives.
     until: Instant,
     last_received_at: Instant,
-    _memory: ReservedMemory,
 }
 
 impl<R> BufferedValue<R> {
@@ -65,10 +66,11 @@
         value_stream: ValueStream,
         memory: ReservedMemory,
     ) -> Self {
-        let value = LargeValue { context, value_stream, buffered: BytesMut::new() };
+        let buffered = BytesMut::with_capacity(value_stream.length());
+        let value = LargeValue { context, value_stream, buffered, memory: Some(memory) };
         let now = Instant::now();
         let until = pending.client_deadline().min(now + VALUE_BUFFERING_TIMEOUT);
-        BufferedValue { pending, value, until, last_received_at: now, _memory: memory }
+        BufferedValue { pending, value, until, last_received_at: now }
     }
 
     /// Waits until the value is to be forwarded or has failed. Cancel safe.
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -15,6 +15,7 @@
 use tracing::debug;
 
 use crate::arriving_command::{ArrivingCommand, Received, RefusedCommand};
+use crate::buffer_memory::ReservedMemory;
 use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, may_read, times_out_at};
 use crate::close_reason::CloseReason;
 use crate::delivery::DeliveryEstimate;
@@ -276,12 +277,12 @@
         large_value: Option<LargeValue<P::ReplyContext>>,
         unread_since: &mut Option<Instant>,
     ) -> io::Result<Option<CloseReason>> {
-        let value = large_value.map(|LargeValue { context, value_stream, buffered }| {
+        let value = large_value.map(|LargeValue { context, value_stream, buffered, memory }| {
             let (length, flags) = (value_stream.length(), value_stream.flags());
             self.protocol.write_value_header(context, length, flags, &mut text);
             let mut trailer = BytesMut::new();
             self.protocol.write_value_trailer(&mut trailer);
-            ForwardedValue { value_stream, buffered, trailer }
+            ForwardedValue { value_stream, buffered, memory, trailer }
         });
         let mut delivery = self.delivery;
         let ended = {
@@ -391,7 +392,8 @@
         let WaitingRequest { pending, context, .. } = request;
         if self.responses.is_empty() && !self.input.is_partial() {
             self.open_requests -= 1;
-            return LargeValueStart::Forward(LargeValue { context, value_stream, buffered: BytesMut::new() });
+            let (buffered, memory) = Default::default();
+            return LargeValueStart::Forward(LargeValue { context, value_stream, buffered, memory });
         }
         let Some(memory) = self.shared.buffer_memory.try_reserve_value(value_stream.length()) else {
             self.write_answer(context, Answer::Failed, text);
@@ -494,6 +496,8 @@
     value_stream: ValueStream,
     /// Its first bytes, which have arrived.
     buffered: BytesMut,
+    /// The memory of its first bytes.
+    memory: Option<ReservedMemory>,
     /// What is written behind it.
     trailer: BytesMut,
 }
@@ -506,9 +510,10 @@
     delivery: &mut DeliveryEstimate,
 ) -> io::Result<()> {
     write_all(writer, &text, delivery).await?;
-    let Some(ForwardedValue { mut value_stream, buffered, trailer }) = value else { return Ok(()) };
+    let Some(ForwardedValue { mut value_stream, buffered, memory, trailer }) = value else { return Ok(()) };
     write_all(writer, &buffered, delivery).await?;
     let mut left = value_stream.length().saturating_sub(buffered.len());
+    drop((buffered, memory));
     while left > 0 {
         // An incomplete value must not look complete: the client sees the connection end.
         let piece = value_stream.next().await.ok_or(io::ErrorKind::UnexpectedEof)?;
