Don't carry out a write again whose id comes again, here or at the other process

An unsafe write whose client left while it was out, and whose id came again on a new connection, was sent to the origin a second time (0.08 s and 0.53 s after the first; also after it had been answered, and at the next process of an upgrade). Cause: an id was held only while its request was open at the front end, and each process knew its own alone. A refusal, which says that nothing ran, forgets the id. At a hot restart the ids are a part of what is handed over, and each process tells the other of each write before it is written (WritesBegun, WritesRefused; older builds skip them). Why it works: every request has a new id (PROTOCOL), and a command that crosses a close has not been read and so is not known. Open: the word to the other process is not acknowledged before the write.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -43,6 +43,7 @@
 use crate::stall;
 use crate::upstream::{Reply, Upstream};
 use crate::value_stream::StreamStart;
+use crate::write_registry::WriteRegistry;
 
 /// Subtracted from a client's time-out, to allow for the transmission of the answer and the granularity of timers.
 const ANSWER_MARGIN_US: Micros = 5_000;
@@ -177,6 +178,8 @@
     pub members: MembershipHandle,
     /// For the process that runs the driver.
     pub core: CoreHandle,
+    /// For the other process of the node.
+    pub recent_writes: WriteRegistry,
 }
 
 /// Executes the balancer's decisions and passes events to it.
@@ -212,6 +215,8 @@
     /// Notified when the balancer asks for a subscription to the list.
     subscribe: Arc<Notify>,
     messages: UnboundedReceiver<Message>,
+    /// The ids of requests that may have taken effect.
+    recent_writes: WriteRegistry,
     buffer_budget: Arc<BufferBudget>,
     stream_start_sender: UnboundedSender<StreamStart>,
     stream_starts: UnboundedReceiver<StreamStart>,
@@ -262,6 +267,7 @@
             actions: Vec::new(),
             subscribe,
             messages,
+            recent_writes: WriteRegistry::default(),
             buffer_budget: BufferBudget::new(options.request_memory_bytes, options.resource_share.clone()),
             stream_start_sender,
             stream_starts,
@@ -285,13 +291,15 @@
                 sender.clone(),
                 options.request_memory_bytes,
                 options.resource_share,
+                driver.recent_writes.clone(),
                 driver.metrics.clone(),
                 driver.shutting_down.clone(),
             ),
             CoreHandle(sender.clone()),
         );
         let members = MembershipHandle { sender, source: "configuration", subscribe: subscribe_signal };
-        (driver, Handles { requests, members, core })
+        let recent_writes = driver.recent_writes.clone();
+        (driver, Handles { requests, members, core, recent_writes })
     }
 
     /// The driver's gauges, which it keeps up to date.
@@ -638,6 +646,9 @@
             && let Some(sender) = request.answer.take()
         {
             let kind = answer_kind(&answer);
+            if matches!(answer, Answer::Busy(_)) && !request.attempts.is_empty() {
+                self.recent_writes.refused(&request.call.id);
+            }
             debug!(request = id.0, attempts = request.attempts.len(), answer = ?kind, "request answered");
             self.request_log.request_answered(id, kind, || &request.call.key);
             self.metrics.request_ended(request.call.class, Some(answer_end(&answer)));
--- a/crates/core/src/driver/attempts.rs
+++ b/crates/core/src/driver/attempts.rs
@@ -5,14 +5,14 @@
 
 use lilacquay_metrics::RequestOutcome;
 use lilacquay_observe::AnswerKind;
-use paddlefold::{AttemptEnd, Event, Micros, Outcome, RequestId, ServerId};
+use paddlefold::{AttemptEnd, Effect, Event, Micros, Outcome, RequestId, ServerId};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tracing::debug;
 
 use super::{Driver, FinishedAttempt, MAX_TIMER_DELAY, RunningAttempt, TimerKind};
 use crate::attempt;
-use crate::call::Answer;
+use crate::call::{Answer, Call};
 use crate::directory::AttemptContext;
 use crate::permit::{Permit, PermitRequest, PermitRequester};
 use crate::upstream::{Target, Upstream};
@@ -100,9 +100,15 @@
 
     /// A permit to start an attempt now, if the balancer confirms its decision.
     fn grant_permit(&mut self, id: RequestId, attempt: usize) -> Option<Permit> {
-        let deadline = self.open_requests.get(&id)?.deadline;
+        let request = self.open_requests.get(&id)?;
+        let (deadline, call) = (request.deadline, request.call.clone());
         match self.balancer.begin(self.clock.now(), id, attempt) {
-            Ok(_) => Some(Permit { deadline, granted_at: Instant::now() }),
+            Ok(_) => {
+                if !self.may_be_repeated(&call) {
+                    self.recent_writes.begun(&call.id);
+                }
+                Some(Permit { deadline, granted_at: Instant::now() })
+            }
             Err(reason) => {
                 debug!(request = id.0, attempt, "attempt not permitted to start: {reason}");
                 self.metrics.attempt_withheld();
@@ -111,6 +117,12 @@
         }
     }
 
+    /// Whether a request may take effect any number of times.
+    fn may_be_repeated(&self, call: &Call) -> bool {
+        let class = call.class.and_then(|class| self.setup.settings.classes.get(class));
+        class.map_or(!call.is_write(), |class| class.effect == Effect::Safe)
+    }
+
     /// Removes an attempt from those in progress. None if it has ended before.
     fn take_attempt(&mut self, id: RequestId, attempt: usize) -> Option<RunningAttempt> {
         let running = self.open_requests.get_mut(&id)?.attempts.get_mut(attempt)?.take()?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod message;
 mod overrides;
 mod permit;
+pub mod recent_writes;
 mod request_log;
 pub mod request_memory;
 mod requests;
@@ -33,6 +34,7 @@
 pub mod time_left;
 mod upstream;
 mod value_stream;
+mod write_registry;
 
 pub use admission::Admission;
 pub use call::{
@@ -55,3 +57,4 @@
 pub use value_stream::{
     BufferReservation, MAX_STREAMED_VALUE_BYTES, ReceiverClosed, ValueChunk, ValueSender, ValueStream,
 };
+pub use write_registry::{WriteRegistry, WriteUpdate};
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -19,6 +19,7 @@
 use crate::message::{Message, NewRequest};
 use crate::request_memory::{MemoryReservation, RequestMemory};
 use crate::resource_share::ResourceShare;
+use crate::write_registry::WriteRegistry;
 
 /// The estimated memory that an open request occupies in addition to its command and its answer.
 const REQUEST_OVERHEAD_BYTES: usize = 4 << 10;
@@ -30,12 +31,13 @@
     next_id: Arc<AtomicU32>,
     open_ids: Arc<Mutex<HashSet<Bytes>>>,
     memory: RequestMemory,
+    recent_writes: WriteRegistry,
     metrics: Metrics,
     /// Set once no more requests are accepted.
     shutting_down: Arc<AtomicBool>,
 }
 
-/// A request with the same id is already open.
+/// A request with the same id is already open, or may have taken effect and must not be repeated.
 #[derive(Debug, PartialEq, Eq)]
 pub struct DuplicateRequestId;
 
@@ -44,25 +46,30 @@
         driver: UnboundedSender<Message>,
         memory_limit_bytes: usize,
         resource_share: ResourceShare,
+        recent_writes: WriteRegistry,
         metrics: Metrics,
         shutting_down: Arc<AtomicBool>,
     ) -> Self {
         let (next_id, open_ids) = Default::default();
         let memory = RequestMemory::new(memory_limit_bytes, resource_share);
-        Requests { driver, next_id, open_ids, memory, metrics, shutting_down }
+        Requests { driver, next_id, open_ids, memory, recent_writes, metrics, shutting_down }
     }
 
     /// Opens a request whose last byte was read at `received_at` and whose command is `bytes` long.
     ///
     /// # Errors
     /// If a request with the same id is open, at any front end. Otherwise a server could answer with the result of the
-    /// other client's request, or with one result for both.
+    /// other client's request, or with one result for both. Also if such a request may have taken effect lately, here or
+    /// in the other process of the node, and must not be repeated.
     pub fn open(
         &self,
         call: Call,
         received_at: Instant,
         bytes: usize,
     ) -> Result<PendingAnswer, DuplicateRequestId> {
+        if self.recent_writes.contains(&call.id) {
+            return Err(DuplicateRequestId);
+        }
         let open_id = OpenIdGuard::acquire(&call.id, &self.open_ids).ok_or(DuplicateRequestId)?;
         let reservation = Arc::new(self.memory.reserve(REQUEST_OVERHEAD_BYTES + bytes));
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
--- a/crates/core/tests/overrides.rs
+++ b/crates/core/tests/overrides.rs
@@ -85,7 +85,7 @@
             list_updates: None,
         };
         let (sender, attempts) = mpsc::unbounded_channel();
-        let (driver, Handles { requests, members, core }) = Driver::new(options, Scripted(sender));
+        let (driver, Handles { requests, members, core, .. }) = Driver::new(options, Scripted(sender));
         tokio::spawn(driver.run());
         TestCore { requests, members, handle: core, attempts, opened: 0 }
     }
--- a/crates/handover/src/messages.rs
+++ b/crates/handover/src/messages.rs
@@ -55,6 +55,16 @@
     /// No more state parts follow.
     #[serde(rename = "Whole")]
     StateComplete,
+    /// From either process to the other: these requests may take effect from now on, and must not be repeated.
+    WritesBegun {
+        /// The hashes of their ids, in hexadecimal digits.
+        ids: Vec<String>,
+    },
+    /// From either process to the other: these requests were refused, and have not taken effect.
+    WritesRefused {
+        /// The hashes of their ids, in hexadecimal digits.
+        ids: Vec<String>,
+    },
     /// Total share of the resources that the successor may use, in thousandths.
     Grant(u32),
 }
@@ -140,6 +150,8 @@
             },
             Message::StateComplete,
             Message::Grant(437),
+            Message::WritesBegun { ids: vec!["0f".into(), "10".into()] },
+            Message::WritesRefused { ids: vec!["0f".into()] },
         ]
     }
 
--- a/crates/lilacquay/src/handover.rs
+++ b/crates/lilacquay/src/handover.rs
@@ -14,7 +14,10 @@
 
 use bytes::BytesMut;
 use lilacquay_control::SiblingsQuery;
-use lilacquay_core::{CoreHandle, HandoverState, Learned, ResourceShare, ServerList, ServerState};
+use lilacquay_core::recent_writes::IdHash;
+use lilacquay_core::{
+    CoreHandle, HandoverState, Learned, ResourceShare, ServerList, ServerState, WriteRegistry, WriteUpdate,
+};
 use lilacquay_handover::messages::{self, Decoded, Message};
 use lilacquay_handover::resource_split::{Action, Event, PredecessorState, ResourceSplit};
 use lilacquay_lifecycle::ServiceMode;
@@ -42,6 +45,8 @@
 const LIST_FORMAT_VERSION: u32 = 1;
 /// Format version of what was learned about the servers.
 const LEARNED_FORMAT_VERSION: u32 = 1;
+/// Format version of the ids of recent writes.
+const WRITES_FORMAT_VERSION: u32 = 1;
 /// Format version of the replicated records.
 const RECORDS_FORMAT_VERSION: u32 = 1;
 
@@ -73,6 +78,8 @@
     pub learned: Option<Learned>,
     /// The predecessor's replicated records: each encoded as text, with the remaining lifetime in microseconds.
     pub replicated_records: Vec<(String, Option<u64>)>,
+    /// The predecessor's recent writes, as the hashes of their ids in hexadecimal digits.
+    pub recent_writes: Vec<String>,
 }
 
 /// Sends requests to the siblings task, which holds the replicated records.
@@ -208,6 +215,8 @@
                 Message::Grant(share) => self.handle_event(Event::Granted(share)).await,
                 // With no share granted this process could serve nobody: the predecessor has to release one first.
                 Message::StateComplete if self.resource_split.limit() > 0 => return Ok(true),
+                Message::WritesBegun { ids } => received.recent_writes.extend(ids),
+                Message::WritesRefused { ids } => received.recent_writes.retain(|id| !ids.contains(id)),
                 Message::StateComplete
                 | Message::Wait
                 | Message::Accepted { .. }
@@ -233,9 +242,11 @@
         mut self,
         core: CoreHandle,
         siblings: Option<SiblingsSender>,
+        recent_writes: WriteRegistry,
         thousandths_in_use: impl Fn() -> u32 + Send,
         mut service_mode: watch::Receiver<ServiceMode>,
     ) {
+        let mut write_updates = recent_writes.subscribe();
         let (mut stopping, mut checks) = (false, interval(CHECK_INTERVAL));
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -250,18 +261,22 @@
                     self.check_for_deaths().await;
                 }
                 Ok(stream) = accept(&self.listener) => {
-                    self.handle_takeover_request(stream, &core, siblings.as_ref()).await
+                    self.handle_takeover_request(stream, &core, siblings.as_ref(), &recent_writes).await
                 }
                 message = receive(&mut self.predecessor) => match message {
                     Ok(Message::Grant(share)) => self.handle_event(Event::Granted(share)).await,
-                    Ok(_) => {}
+                    Ok(message) => apply_write_updates(&recent_writes, &message),
                     Err(_) => if let Some(predecessor) = &mut self.predecessor {
                         predecessor.disconnected = true;
                     }
                 },
-                _ = receive(&mut self.successor) => if let Some(successor) = &mut self.successor {
-                    successor.disconnected = true; // a successor sends nothing after its request
+                message = receive(&mut self.successor) => match message {
+                    Ok(message) => apply_write_updates(&recent_writes, &message),
+                    Err(_) => if let Some(successor) = &mut self.successor {
+                        successor.disconnected = true;
+                    }
                 },
+                Some(update) = write_updates.recv() => self.send_write_update(update).await,
                 Ok(()) = service_mode.changed() => {
                     let current = *service_mode.borrow();
                     // A process that shuts down stops accepting connections, while its successor still accepts them.
@@ -274,6 +289,19 @@
         }
     }
 
+    /// Tells the other processes of the node about a write of this one.
+    async fn send_write_update(&mut self, update: WriteUpdate) {
+        let message = match update {
+            WriteUpdate::Begun(id) => Message::WritesBegun { ids: vec![id.to_hex()] },
+            WriteUpdate::Refused(id) => Message::WritesRefused { ids: vec![id.to_hex()] },
+        };
+        for peer in [&mut self.predecessor, &mut self.successor].into_iter().flatten() {
+            if !peer.disconnected {
+                let _ = peer.send(&message).await; // a process that has ended is noticed when it is read from
+            }
+        }
+    }
+
     /// Checks whether the predecessor or the successor has died. A process whose predecessor never answered also finds
     /// out here that it is alone.
     async fn check_for_deaths(&mut self) {
@@ -320,6 +348,7 @@
         stream: UnixStream,
         core: &CoreHandle,
         siblings: Option<&SiblingsSender>,
+        recent_writes: &WriteRegistry,
     ) {
         let Ok(mut peer) = Peer::new(stream) else { return };
         match timeout(ANSWER_TIMEOUT, peer.receive()).await {
@@ -333,7 +362,7 @@
             let _ = peer.send(&Message::Wait).await; // it asks again, or has ended
             return;
         }
-        let result = self.hand_over(&mut peer, &actions, core, siblings).await;
+        let result = self.hand_over(&mut peer, &actions, core, siblings, recent_writes).await;
         if let Err(error) = result {
             warn!("handing over to the successor failed: {error}");
         }
@@ -347,6 +376,7 @@
         actions: &[Action],
         core: &CoreHandle,
         siblings: Option<&SiblingsSender>,
+        recent_writes: &WriteRegistry,
     ) -> io::Result<()> {
         let build = env!("CARGO_PKG_VERSION").to_owned();
         successor.send(&Message::Accepted { pid: std::process::id(), build }).await?;
@@ -360,6 +390,14 @@
                 successor.send(&Message::StatePart { name: name.into(), version, body }).await?;
             }
         }
+        let ids: Vec<String> = recent_writes.ids().into_iter().map(IdHash::to_hex).collect();
+        successor
+            .send(&Message::StatePart {
+                name: "writes".into(),
+                version: WRITES_FORMAT_VERSION,
+                body: json!(ids),
+            })
+            .await?;
         if let Some(siblings) = siblings
             && let Ok(Some(records)) = timeout(ANSWER_TIMEOUT, replicated_records(siblings)).await
         {
@@ -382,6 +420,8 @@
                 }),
             "copy" => messages::decode_part(version, RECORDS_FORMAT_VERSION, body)
                 .map(|records| self.replicated_records = records),
+            "writes" => messages::decode_part(version, WRITES_FORMAT_VERSION, body)
+                .map(|ids| self.recent_writes = ids),
             "learned" => messages::decode_part(version, LEARNED_FORMAT_VERSION, body)
                 .map(|learned| self.learned = Some(learned)),
             _ => Err("unknown part".into()),
@@ -414,6 +454,16 @@
     ]
 }
 
+/// Applies what the other process tells about its writes.
+pub fn apply_write_updates(recent_writes: &WriteRegistry, message: &Message) {
+    let (ids, update): (_, fn(IdHash) -> WriteUpdate) = match message {
+        Message::WritesBegun { ids } => (ids, WriteUpdate::Begun),
+        Message::WritesRefused { ids } => (ids, WriteUpdate::Refused),
+        _ => return,
+    };
+    ids.iter().filter_map(|id| IdHash::from_hex(id)).for_each(|id| recent_writes.apply(update(id)));
+}
+
 /// The records that the process replicates with other nodes; `None` if the siblings task has ended.
 async fn replicated_records(siblings: &SiblingsSender) -> Option<Vec<(String, Option<u64>)>> {
     let (answer, records) = oneshot::channel();
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -30,6 +30,8 @@
 use crate::admin::AdminHandler;
 use crate::config::{Config, ConfigSource};
 use crate::etcd::EtcdConfig;
+use lilacquay_handover::messages::Message;
+
 use crate::handover::{self, HandoverPaths};
 use crate::lifecycle::NodeLifecycle;
 use crate::logging::Logging;
@@ -129,6 +131,7 @@
     let replicates = config.siblings.as_ref().is_some_and(|site| site.replicated_kinds.any());
     // Persisted replicated orders are published to the other nodes again, and the predecessor's records are kept.
     let own_records = persisted_orders.iter().flatten().filter_map(SavedRecord::from_persistent_order);
+    let predecessor_writes = Message::WritesBegun { ids: received.recent_writes };
     let handed_over = received.replicated_records.iter().filter_map(SavedRecord::from_handover);
     let saved_records = own_records.chain(handed_over).collect();
     // Where other nodes can have a server excluded, overrides are on, whether or not operators give orders here.
@@ -150,7 +153,8 @@
     let names = config.setup.names.clone();
     let kinds = config.memcached.as_ref().map(|(_, memcached)| memcached.server_kinds.clone());
     let connector = ServerConnector::new(kinds.unwrap_or_default());
-    let (driver, Handles { requests, members, core }) = Driver::new(options, connector);
+    let (driver, Handles { requests, members, core, recent_writes }) = Driver::new(options, connector);
+    handover::apply_write_updates(&recent_writes, &predecessor_writes);
     let gauges = driver.gauges();
     let acceptor = Acceptor::new(
         requests,
@@ -213,7 +217,14 @@
             move || ((acceptor.connection_count() + gauges.connections()) * 1000 / max_connections) as u32;
         let siblings_requests = site_sender.is_some().then(|| siblings_requests.clone());
         let service_mode = lifecycle.service_mode();
-        tasks.spawn(handover_session.run(core.clone(), siblings_requests, thousandths_in_use, service_mode));
+        let session = handover_session.run(
+            core.clone(),
+            siblings_requests,
+            recent_writes,
+            thousandths_in_use,
+            service_mode,
+        );
+        tasks.spawn(session);
     }
     let core_handle = core.clone();
     let reloadable =
--- a/crates/lilacquay/tests/handover.rs
+++ b/crates/lilacquay/tests/handover.rs
@@ -362,3 +362,38 @@
         drop(elder.join().unwrap());
     }
 }
+
+const WRITE: &str = "c=put,d=1900";
+
+fn write(client: &mut Client, id: &str) {
+    client.send(&["CACHE.SET", "k", id, WRITE, "v"]);
+}
+
+#[test]
+fn a_write_that_had_run_ran_again_at_the_next_process() {
+    let platform = Platform::new();
+    let (old, _) = platform.start();
+    let mut first = old.client();
+    write(&mut first, "before");
+    let _out = platform.origin.call();
+    let mut kept = old.client();
+    kept.ping();
+    let (new, _) = platform.start();
+    old.terminate();
+    until("new connections are the next process's", || {
+        let mut probe = new.client();
+        write(&mut probe, "before"); // known to both
+        probe.answer().as_deref() == Some("-ERR id in use")
+    });
+    // Taken by the old process while both live.
+    write(&mut kept, "meanwhile");
+    let _out = platform.origin.call();
+    drop((first, kept));
+    std::thread::sleep(Duration::from_millis(600)); // the old process accepts nothing any longer
+    for id in ["before", "meanwhile"] {
+        let mut again = new.client();
+        write(&mut again, id);
+        assert_eq!(again.answer().as_deref(), Some("-ERR id in use"), "{id}");
+    }
+    assert!(platform.origin.called().is_none(), "it was sent twice");
+}
