Keep no connection to a server's earlier process for its successor at the same address

A server that starts anew at the same address, under its name, was taken for the process before: connections to the old process were used for requests that were meant for the new one, and one in use as the list told the restart was kept for it. Cause: a connection was known by its server's name and address alone. A process that has vanished without a word, or that still runs beside its successor, then got the requests. Change: a new started_ms is a new process: its idle connections are closed, attempts that are still connecting end unsent, and a connection is kept only for the very process it was made to (the identity that its target carries, in place of an address).

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -150,11 +150,13 @@
             idle: Vec::new(),
         });
         server.is_origin = origin;
-        // A different machine type may speak a different protocol, so its connections are not reused either.
-        if server.addr != entry.addr || *server.kind != *entry.kind {
+        // A server that has started anew is another process, at whatever address. A different machine type may speak a
+        // different protocol, so its connections are not reused either.
+        let is_same_process = server.addr == entry.addr && server.entry.started_ms == entry.started_ms;
+        if !is_same_process || *server.kind != *entry.kind {
             (server.addr, server.kind) = (entry.addr, entry.kind.as_str().into());
             server.idle.clear();
-            // Attempts that are still connecting to the old address send nothing there.
+            // Attempts that are still connecting to the old process send nothing.
             std::mem::replace(&mut server.availability, Availability::new()).set(false);
         }
         server.availability.set(state == MemberState::Up);
@@ -237,11 +239,14 @@
         }
     }
 
-    /// Keeps a connection for the next request, if its server still takes requests at that address.
-    pub fn check_in(&mut self, id: ServerId, addr: SocketAddr, connection: C, now: Instant) {
+    /// Keeps a connection for the next request, if the process that it is to still takes requests. `availability`: that of
+    /// the process, as its target had it.
+    pub fn check_in(&mut self, id: ServerId, availability: &Availability, connection: C, now: Instant) {
         let retention = self.retention;
         let server = self.servers.get_mut(&id);
-        if let Some(server) = server.filter(|s| s.addr == addr && s.availability.is_serving()) {
+        if let Some(server) =
+            server.filter(|s| s.availability.is_same(availability) && availability.is_serving())
+        {
             let idle_before = server.idle.len();
             server.idle.retain(|(since, _)| retention.retains(now, *since, true));
             server.idle.push((now, connection));
@@ -348,7 +353,7 @@
     const KEEPALIVE: Duration = Duration::from_secs(10);
 
     /// The directory of one of `nodes` nodes, with one listed server.
-    fn directory(nodes: usize) -> (Directory<Numbered>, ServerId, SocketAddr) {
+    fn directory(nodes: usize) -> (Directory<Numbered>, ServerId, Availability) {
         let stated = r#"{"Classes":[],"Skus":["m"]}"#;
         let stated: paddlefold::setup::RawSettings = serde_json::from_str(stated).expect("settings");
         let mut setup = Setup::try_from(stated).expect("settings");
@@ -358,14 +363,15 @@
         let mut directory =
             Directory::new(KEEPALIVE, nodes, lilacquay_metrics::Metrics::new(Vec::new()).attempt_counter());
         let members = directory.apply(ServerList { full: true, servers: vec![entry] }, &mut setup, |_| true);
-        (directory, members[0].id, addr)
+        let availability = directory.servers[&members[0].id].availability.clone();
+        (directory, members[0].id, availability)
     }
 
     /// The number of connections left, of three that were checked in at once, after a time.
     fn left_after(nodes: usize, time: Duration) -> usize {
-        let (mut directory, id, addr) = directory(nodes);
+        let (mut directory, id, process) = directory(nodes);
         let now = Instant::now();
-        (0..3).for_each(|n| directory.check_in(id, addr, Numbered(n), now));
+        (0..3).for_each(|n| directory.check_in(id, &process, Numbered(n), now));
         directory.sweep(now + time);
         directory.idle_count()
     }
@@ -382,10 +388,10 @@
 
     #[test]
     fn the_spare_that_closes_is_the_least_recently_used() {
-        let (mut directory, id, addr) = directory(100);
+        let (mut directory, id, process) = directory(100);
         let now = Instant::now();
-        directory.check_in(id, addr, Numbered(1), now);
-        directory.check_in(id, addr, Numbered(2), now + KEEPALIVE / 10);
+        directory.check_in(id, &process, Numbered(1), now);
+        directory.check_in(id, &process, Numbered(2), now + KEEPALIVE / 10);
         assert_eq!(directory.idle_count(), 1, "closed without waiting for a sweep");
         let budget = crate::buffer_budget::BufferBudget::new(0, Default::default());
         let (sender, _) = tokio::sync::mpsc::unbounded_channel();
--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -41,7 +41,7 @@
 use crate::requests::{AnswerSender, Requests};
 use crate::resource_share::ResourceShare;
 use crate::stall;
-use crate::upstream::{Reply, Upstream};
+use crate::upstream::{Availability, Reply, Upstream};
 use crate::value_stream::StreamStart;
 use crate::write_registry::WriteRegistry;
 
@@ -74,7 +74,8 @@
     attempt: usize,
     reply: Reply,
     server: ServerId,
-    addr: std::net::SocketAddr,
+    /// Identifies the process of the server that the connection is to.
+    availability: Availability,
     /// The connection, if another request may reuse it.
     connection: Option<C>,
 }
--- a/crates/core/src/driver/attempts.rs
+++ b/crates/core/src/driver/attempts.rs
@@ -79,10 +79,10 @@
         let sender = self.permit_request_sender.clone();
         let permit_requester = PermitRequester { id, attempt, sender, permit };
         let work = async move {
-            let addr = target.addr;
+            let availability = target.availability().clone();
             let (reply, connection) =
                 attempt::run(upstream, target, pooled, &call, permit_requester, connect_timeout).await;
-            let finished = FinishedAttempt { id, attempt, reply, server, addr, connection };
+            let finished = FinishedAttempt { id, attempt, reply, server, availability, connection };
             let _ = finished_sender.send(finished); // the driver may have ended
         };
         tokio::spawn(work).abort_handle()
@@ -150,10 +150,10 @@
         while let Ok(start) = self.stream_starts.try_recv() {
             self.stream_started(start);
         }
-        let FinishedAttempt { id, attempt, reply, server, addr, connection } = finished;
+        let FinishedAttempt { id, attempt, reply, server, availability, connection } = finished;
         let running = self.take_attempt(id, attempt);
         if let Some(connection) = connection {
-            self.directory.check_in(server, addr, connection, Instant::now());
+            self.directory.check_in(server, &availability, connection, Instant::now());
         }
         let Some(running) = running else { return }; // aborted before: a late outcome changes nothing
         if let Some(timer) = running.timeout {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -134,6 +134,10 @@
     pub fn set(&self, serving: bool) {
         self.0.store(serving, Ordering::Relaxed);
     }
+    /// Whether both belong to the same process of a server.
+    pub fn is_same(&self, other: &Availability) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
 }
 
 /// The result of an attempt.
