Don't begin a value before other answers on the strength of its first bytes

It is forwarded after a second, as earlier, or when its answer has to begin or fail if bytes have come over at least 0.15 s; else it fails then, in time.

--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -11,10 +11,11 @@
 
 use crate::buffer_memory::ReservedMemory;
 
-/// How long a large value ahead of other responses is buffered at most. Once it is buffered for that long or its client's
-/// time-out has expired, it is forwarded as soon as more of it arrives, since a client may not be prepared to wait 2 s for
-/// the rest of the value from the server.
+/// How long a large value ahead of other responses is buffered. From then on it is forwarded as soon as more of it
+/// arrives, since a client may not be prepared to wait 2 s for the rest of the value from the server.
 const VALUE_BUFFERING_TIMEOUT: Duration = Duration::from_secs(1);
+/// A value of which bytes have come for at least this long is taken to go on. One that stops mostly does so at once.
+const STEADY_VALUE_PERIOD: Duration = Duration::from_millis(150);
 /// How often buffering checks whether the process is about to end.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -53,8 +54,7 @@
 pub(crate) struct BufferedValue<R> {
     pending: PendingAnswer,
     value: LargeValue<R>,
-    /// From when on the value is forwarded as it arrives.
-    until: Instant,
+    started_at: Instant,
     last_received_at: Instant,
 }
 
@@ -69,8 +69,7 @@
         let buffered = BytesMut::with_capacity(value_stream.length());
         let value = LargeValue { context, value_stream, buffered, memory: Some(memory) };
         let now = Instant::now();
-        let until = pending.client_deadline().min(now + VALUE_BUFFERING_TIMEOUT);
-        BufferedValue { pending, value, until, last_received_at: now }
+        BufferedValue { pending, value, started_at: now, last_received_at: now }
     }
 
     /// Waits until the value is to be forwarded or has failed. Cancel safe.
@@ -84,12 +83,15 @@
                 Ok(None) => return BufferingResult::Truncated,
                 // The process is about to end: the value is given up so that the responses behind it are still written.
                 Err(_) if requests.is_shutting_down() => return BufferingResult::Truncated,
-                // Its client has received nothing of it, so that its final answer is due.
-                Err(_) if Instant::now() >= read_deadline => return BufferingResult::Truncated,
+                // Its client has received nothing of it, so that its answer must begin or fail now.
+                Err(_) if Instant::now() >= read_deadline => {
+                    let is_steady = self.last_received_at >= self.started_at + STEADY_VALUE_PERIOD;
+                    return if is_steady { BufferingResult::Forward } else { BufferingResult::Truncated };
+                }
                 Err(_) => continue,
             }
             self.last_received_at = Instant::now();
-            if self.last_received_at >= self.until {
+            if self.last_received_at >= self.started_at + VALUE_BUFFERING_TIMEOUT {
                 break;
             }
         }
