Soak: servers that pause, clients that read nothing, a flood; count peak memory

Replaced check: a client's request whose value a server begins and never finishes had to end 0.5 s after its time. Not in the soak yet: ids that come again, a process at an address that was another's, requests that servers read slowly.

--- a/crates/fleet/src/cache.rs
+++ b/crates/fleet/src/cache.rs
@@ -347,7 +347,17 @@
                 Some(words) => self.handle_command(&words, stream, &mut buffer).await?,
                 None => encode_error("ERR words wanted").into(),
             };
-            stream.write_all(&answer.bytes).await?;
+            match &answer.follow_up {
+                FollowUp::RecordSent(request) if self.should_inject(|faults| faults.pause) => {
+                    self.record(Event::AnswerPaused(request.clone()));
+                    let written = self.write_with_pauses(stream, &answer.bytes).await;
+                    if written.is_err() {
+                        self.record(Event::ValueAbandoned(request.clone()));
+                    }
+                    written?;
+                }
+                _ => stream.write_all(&answer.bytes).await?,
+            }
             match answer.follow_up {
                 FollowUp::None => {}
                 FollowUp::RecordSent(request) => self.record(Event::LargeValueSent(request)),
@@ -360,6 +370,19 @@
         }
     }
 
+    /// Writes an answer in pieces.
+    async fn write_with_pauses(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+        let pieces = lock(&self.rng).usize(PAUSED_PIECES);
+        for (n, piece) in bytes.chunks(bytes.len().div_ceil(pieces)).enumerate() {
+            if n > 0 {
+                let pause = Duration::from_millis(lock(&self.rng).u64(PAUSE_MS));
+                sleep(pause).await;
+            }
+            stream.write_all(piece).await?;
+        }
+        Ok(())
+    }
+
     /// Sends an answer a second time, some milliseconds later, unless the connection is closed before.
     async fn repeat_answer(
         &self,
@@ -529,6 +552,9 @@
 
 /// Time from an answer to its repeat, in milliseconds.
 const REPEAT_DELAY_MS: std::ops::Range<u64> = 1..9;
+/// The number of pieces of a value that is written with pauses, and the pauses, in milliseconds.
+const PAUSED_PIECES: std::ops::Range<usize> = 2..5;
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 800..=1800;
 /// Announced length of a truncated value, in bytes.
 const TRUNCATED_VALUE_LENGTH: usize = 999_999;
 /// Number of bytes that are sent of a truncated value.
--- a/crates/fleet/src/clients.rs
+++ b/crates/fleet/src/clients.rs
@@ -28,7 +28,8 @@
 /// A client that abandons its request does so after a fraction of its timeout: a uniform number from 0 to 1, raised to
 /// this power, so that most abandon early.
 const ABANDON_TIME_EXPONENT: i32 = 3;
-/// Time after a request's timeout for which its answer is still awaited, to tell a late answer from none.
+/// Time after a request's timeout for which its answer is still awaited, to tell a late answer from none. The rest of an
+/// answer that has begun is awaited for as long after the time at which the node has to end it.
 const LATE_ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// Time at the end of a load in which unsolicited answers may still arrive.
 const UNSOLICITED_ANSWER_WAIT: Duration = Duration::from_millis(100);
@@ -334,9 +335,9 @@
     }
 }
 
-/// Longest time after a client's timeout until the node ends an answer that its server does not finish, in
-/// microseconds.
-pub const UNFINISHED_ANSWER_GRACE_US: Micros = 500_000;
+/// Longest time until the node ends an answer that has begun and whose server has fallen silent, in microseconds. A server
+/// that falls silent does so within its client's timeout here, so that it counts from that.
+pub const UNFINISHED_ANSWER_GRACE_US: Micros = 5_000_000;
 
 /// Allowance beyond a time limit for the time spent in sockets, in microseconds.
 pub const SOCKET_SLACK_US: Micros = 50_000;
@@ -488,7 +489,13 @@
         abandon_timeout: Option<Duration>,
     ) -> Outcome {
         let limit = abandon_timeout.unwrap_or(request_timeout + LATE_ANSWER_WAIT);
-        match timeout(limit, exchange(&mut stream, command, expected)).await {
+        let mut buffer = BytesMut::new();
+        let mut exchanged = timeout(limit, exchange(&mut stream, command, expected, &mut buffer)).await;
+        if exchanged.is_err() && abandon_timeout.is_none() && !buffer.is_empty() {
+            let rest = Duration::from_micros(UNFINISHED_ANSWER_GRACE_US);
+            exchanged = timeout(rest, read_answer(&mut stream, expected, &mut buffer)).await;
+        }
+        match exchanged {
             Err(_) if abandon_timeout.is_some() => Outcome::Abandoned,
             Ok(ExchangeResult::Answer(outcome)) => {
                 self.idle().push(stream);
@@ -561,18 +568,31 @@
 }
 
 /// Writes a command and reads its answer.
-async fn exchange(stream: &mut TcpStream, command: &[u8], expected: &ExpectedAnswer) -> ExchangeResult {
+async fn exchange(
+    stream: &mut TcpStream,
+    command: &[u8],
+    expected: &ExpectedAnswer,
+    buffer: &mut BytesMut,
+) -> ExchangeResult {
     if stream.write_all(command).await.is_err() {
         return ExchangeResult::Closed;
     }
-    let mut buffer = BytesMut::new();
+    read_answer(stream, expected, buffer).await
+}
+
+/// Reads an answer. Cancel safe: what has come of it is in the buffer.
+async fn read_answer(
+    stream: &mut TcpStream,
+    expected: &ExpectedAnswer,
+    buffer: &mut BytesMut,
+) -> ExchangeResult {
     loop {
-        match expected.parse(&mut buffer) {
+        match expected.parse(buffer) {
             Some(Ok(outcome)) if buffer.is_empty() => return ExchangeResult::Answer(outcome),
             Some(_) => return ExchangeResult::UnexpectedData,
             None => {}
         }
-        match stream.read_buf(&mut buffer).await {
+        match stream.read_buf(buffer).await {
             Ok(0) | Err(_) if buffer.is_empty() => return ExchangeResult::Closed,
             Ok(0) | Err(_) => return ExchangeResult::Truncated,
             Ok(_) => {}
--- a/crates/fleet/src/fault.rs
+++ b/crates/fleet/src/fault.rs
@@ -25,6 +25,8 @@
     pub twice: f64,
     /// Reads from a box that get the beginning of a large value, and nothing after it.
     pub halt: f64,
+    /// Large values of a box that are written in pieces, with pauses of 0.8 to 1.8 s between them.
+    pub pause: f64,
     /// Answers of the origin that have no `Content-Length` and end in the middle.
     pub cut: f64,
     /// New connections are refused.
@@ -47,6 +49,7 @@
             fail: 0.0,
             twice: 0.0,
             halt: 0.0,
+            pause: 0.0,
             cut: 0.0,
             refuse: false,
             late: false,
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -35,6 +35,10 @@
     AnswerRepeated(ReceivedRequest),
     /// A value of a length that its client asked for was sent whole.
     LargeValueSent(ReceivedRequest),
+    /// A large value is sent in pieces, with pauses (fault `pause`).
+    AnswerPaused(ReceivedRequest),
+    /// The node closed the connection before a large value with pauses was sent whole.
+    ValueAbandoned(ReceivedRequest),
     /// The beginning of a large value was sent; the rest never will be (fault `halt`).
     AnswerHalted(ReceivedRequest),
     /// An answer without `Content-Length` ended in the middle (fault `cut`).
--- a/crates/fleet/src/soak/faults.rs
+++ b/crates/fleet/src/soak/faults.rs
@@ -105,11 +105,23 @@
         script.push((after, Step::Faults { server, faults: Faults::default() }));
     }
     script.extend(duplicate_and_truncated_answers(&mut rng));
+    script.extend(paused_answers());
     script.extend(faults_during_shutdown());
     script.sort_by_key(|(at, _)| *at);
     script
 }
 
+/// At every second server, large values with pauses, for as long as other faults are drawn.
+fn paused_answers() -> Script {
+    let paused = Faults { pause: 0.5, ..Faults::default() };
+    let servers = (0..CACHE_SERVERS).step_by(2);
+    let steps = servers.flat_map(|n| {
+        [Duration::from_millis(250), Duration::from_millis(900), Duration::from_millis(1700)]
+            .map(|at| (at, Step::Faults { server: format!("box-{n}"), faults: paused.clone() }))
+    });
+    steps.collect()
+}
+
 /// At some servers, answers that are sent twice or stop in the middle; at the origin, answers of undeclared length that are
 /// truncated.
 fn duplicate_and_truncated_answers(rng: &mut fastrand::Rng) -> Script {
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod pipelined;
 mod process;
 mod run_delay;
+mod slow_clients;
 mod slow_readers;
 mod stopped_writes;
 mod system_calls;
@@ -33,6 +34,7 @@
 use pipelined::{Pace, PipelineReport, run_pipelining_client};
 use process::Process;
 use run_delay::RunDelays;
+use slow_clients::{PausedValueReport, ask_and_read_nothing, flood, read_paused_values};
 use slow_readers::{SlowReaderReport, run_slow_reader};
 use stopped_writes::{STOPPED_CLIENT_LIMIT, StoppedWriteReport, run_stopped_writes};
 use system_calls::SystemCallFaults;
@@ -68,6 +70,10 @@
 const STOPPED_WRITE_INTERVAL: usize = 6;
 /// One in this many nodes has a slow reader as it is told to end.
 const SLOW_READER_INTERVAL: usize = 2;
+/// One in this many nodes has a client that reads values whose servers pause.
+const PAUSED_VALUE_INTERVAL: usize = 4;
+/// The memory that a process of a node may hold, in MiB: half of what its configuration allows.
+const MAX_MEMORY_MIB: usize = 96;
 /// When clients begin to stop in writes, in milliseconds.
 const STOPPED_WRITES_BEGIN_MS: std::ops::Range<u64> = 300..2500;
 
@@ -160,6 +166,12 @@
     pipeline_reports: Vec<PipelineReport>,
     stopped_write_reports: Vec<StoppedWriteReport>,
     slow_reader_reports: Vec<SlowReaderReport>,
+    /// The values that were asked for while servers paused, by node.
+    paused_value_reports: Vec<(usize, PausedValueReport)>,
+    unreading_clients: usize,
+    flood_commands: usize,
+    /// The most memory that a node's process has held, in MiB.
+    peak_memory_mib: usize,
     run_delays: RunDelays,
     /// Descriptions of violations that are found while the faults are played.
     violations: Vec<String>,
@@ -195,7 +207,7 @@
             slot.start(&program.path, &system_calls, &fleet)?;
         }
         let (idle_connections, pipeline_reports, run_delays, violations) = Default::default();
-        let (stopped_write_reports, slow_reader_reports) = Default::default();
+        let (stopped_write_reports, slow_reader_reports, paused_value_reports) = Default::default();
         let program = program.path.clone();
         Ok(Soak {
             seed,
@@ -207,6 +219,10 @@
             pipeline_reports,
             stopped_write_reports,
             slow_reader_reports,
+            paused_value_reports,
+            unreading_clients: 0,
+            flood_commands: 0,
+            peak_memory_mib: 0,
             run_delays,
             violations,
         })
@@ -287,6 +303,23 @@
                 runtime.spawn(run_slow_reader(self.slots[node].listen, seed, start + FAULT_PERIOD))
             })
             .collect();
+        let paused_values: Vec<_> = (0..NODES)
+            .step_by(PAUSED_VALUE_INTERVAL)
+            .map(|node| {
+                let (seed, from) =
+                    (self.seed * 1000 + node as u64, start + Duration::from_millis(rng.u64(300..1500)));
+                let reading = read_paused_values(self.slots[node].listen, seed, from, clock.clone());
+                (node, runtime.spawn(reading))
+            })
+            .collect();
+        // The nodes and times of a crowd that reads nothing and of a flood.
+        let (crowded, flooded) =
+            (self.slots[rng.usize(..NODES)].listen, self.slots[rng.usize(..NODES)].listen);
+        let mut drawn_time = || start + Duration::from_millis(rng.u64(500..3000));
+        // On a thread of their own, so that they delay no other client.
+        let crowd_runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let crowd = crowd_runtime.spawn(ask_and_read_nothing(crowded, self.seed, drawn_time()));
+        let flood = crowd_runtime.spawn(flood(flooded, self.seed, drawn_time()));
         let processes = Arc::new(Mutex::new(self.process_ids()));
         let ended = Arc::new(AtomicBool::new(false));
         let sampling = {
@@ -303,6 +336,12 @@
         for slow_reader in slow_readers {
             self.slow_reader_reports.extend(runtime.block_on(slow_reader).map_err(io::Error::other)?);
         }
+        for (node, reading) in paused_values {
+            let values = runtime.block_on(reading).map_err(io::Error::other)?;
+            self.paused_value_reports.extend(values.into_iter().map(|value| (node, value)));
+        }
+        self.unreading_clients = runtime.block_on(crowd).map_err(io::Error::other)?;
+        self.flood_commands = runtime.block_on(flood).map_err(io::Error::other)?;
         let mut reports = Vec::new();
         for load in loads {
             reports.push(runtime.block_on(load).map_err(io::Error::other)?);
@@ -331,12 +370,32 @@
                 let _ = self.fleet.step(step); // an error means that the server has been removed meanwhile
             }
             sleep((start + at).saturating_duration_since(Instant::now()));
+            self.record_peak_memory(node);
             self.apply(node, action)?;
             *processes.lock().unwrap_or_else(PoisonError::into_inner) = self.process_ids();
         }
         Ok(())
     }
 
+    /// Records the most memory that a node's process has held, as far as the process still runs.
+    fn record_peak_memory(&mut self, node: usize) {
+        let peak = self.slots[node].process.as_ref().and_then(Process::peak_memory_mib).unwrap_or(0);
+        self.peak_memory_mib = self.peak_memory_mib.max(peak);
+        if peak > MAX_MEMORY_MIB {
+            self.violations.push(format!("{} held {peak} MiB of memory", self.slots[node].listen));
+        }
+    }
+
+    /// Descriptions of values that were cut off though their server gave them whole or was still giving them, by the ids of
+    /// those. A process that was told to end may have been ended in the middle of a value.
+    fn cut_off_paused_values(&self, given: &BTreeSet<&str>) -> impl Iterator<Item = String> {
+        let cut_off = self.paused_value_reports.iter().filter(|(node, report)| {
+            let terminated = self.slots[*node].terminated_at.iter().any(|at| *at <= report.ended);
+            report.value.is_cut_off() && !terminated && given.contains(report.value.id.as_str())
+        });
+        cut_off.map(|(_, report)| format!("cut off while its server paused: {:?}", report.value))
+    }
+
     /// How many clients sent commands after SIGTERM while they still read a large value.
     fn slow_readers_across_sigterm(&self) -> usize {
         self.slow_reader_reports.iter().filter(|report| report.sent_while_reading).count()
@@ -384,6 +443,9 @@
         let cut_off = self.slow_reader_reports.iter().filter(|report| report.is_cut_off());
         let cut_off = cut_off.filter(|report| given_whole.contains(report.id.as_str()));
         violations.extend(cut_off.map(|report| format!("cut off: {report:?}")));
+        let given: BTreeSet<&str> = records.iter().filter_map(value_given).collect();
+        violations.extend(self.cut_off_paused_values(&given));
+        let paused = records.iter().filter(|record| matches!(record.event, Event::AnswerPaused(_))).count();
         for report in &self.pipeline_reports {
             for unanswered in &report.unanswered {
                 let id = &unanswered.id;
@@ -428,6 +490,11 @@
                 self.stopped_write_reports.iter().map(|report| report.answered).sum(),
             ),
             ("slow readers across SIGTERM", self.slow_readers_across_sigterm()),
+            ("values written with pauses", paused),
+            ("read while their server paused", self.paused_value_reports.len()),
+            ("clients that read nothing", self.unreading_clients),
+            ("commands of a flood", self.flood_commands),
+            ("peak memory, MiB", self.peak_memory_mib),
             ("answers sent twice", repeated),
             ("values that stopped", halted),
             ("answers cut, of no length", cut),
@@ -448,6 +515,14 @@
     kept.chain(late).collect()
 }
 
+/// The id of a request whose large value a server has sent whole, or was still sending when its node closed.
+fn value_given(record: &Record) -> Option<&str> {
+    match &record.event {
+        Event::LargeValueSent(request) | Event::ValueAbandoned(request) => Some(&request.id),
+        _ => None,
+    }
+}
+
 /// The id of a request whose large value a server has sent whole.
 fn large_value_sent(record: &Record) -> Option<&str> {
     match &record.event {
--- a/crates/fleet/src/soak/process.rs
+++ b/crates/fleet/src/soak/process.rs
@@ -55,6 +55,13 @@
         Ok(Process { child, listen, log: Some(log) })
     }
 
+    /// The most memory that the process has held, in MiB; none once it has ended.
+    pub fn peak_memory_mib(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse::<usize>().ok().map(|kib| kib >> 10)
+    }
+
     /// The process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/fleet/src/soak/slow_readers.rs
+++ b/crates/fleet/src/soak/slow_readers.rs
@@ -22,6 +22,10 @@
 const SENDS_AFTER: [Duration; 2] = [Duration::from_millis(550), Duration::from_millis(600)];
 /// Nothing comes for this long only from a node that will send nothing more.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The same for values whose servers pause.
+const PAUSED_READ_TIMEOUT: Duration = Duration::from_millis(7000);
+/// Values up to this length are not large.
+const MAX_SMALL_VALUE_BYTES: usize = 64 << 10;
 const FACTS: &str = "c=lookup,d=1990";
 
 /// What one client saw.
@@ -90,13 +94,27 @@
     }
 }
 
-async fn ask(stream: &mut TcpStream, key: &str, id: &str, facts: &str) -> Option<()> {
+pub(super) async fn ask(stream: &mut TcpStream, key: &str, id: &str, facts: &str) -> Option<()> {
     stream.write_all(&encode_command_with_value(key, id, facts, None)).await.ok()
 }
 
+/// Reads up to this many bytes, to the end of the connection or until nothing comes for as long as servers pause and more;
+/// returns how many came.
+pub(super) async fn read_to_end(stream: &mut TcpStream, bytes: usize) -> usize {
+    let (mut buffer, mut come) = (vec![0; READ_BYTES], 0);
+    while come < bytes {
+        let room = READ_BYTES.min(bytes - come);
+        match timeout(PAUSED_READ_TIMEOUT, stream.read(&mut buffer[..room])).await {
+            Ok(Ok(read @ 1..)) => come += read,
+            _ => break,
+        }
+    }
+    come
+}
+
 /// Reads an answer up to its first line, and the value behind it if that is small. Returns the length of a value, 0 for
 /// other answers, and how many bytes of it were read.
-async fn read_answer_header(stream: &mut TcpStream) -> Option<(usize, usize)> {
+pub(super) async fn read_answer_header(stream: &mut TcpStream) -> Option<(usize, usize)> {
     let mut buffer = BytesMut::new();
     loop {
         if timeout(READ_TIMEOUT, stream.read_buf(&mut buffer)).await.ok()?.ok()? == 0 {
@@ -106,7 +124,7 @@
         let line = std::str::from_utf8(&buffer[..end]).ok()?;
         let length: usize = line.strip_prefix('$').and_then(|length| length.parse().ok()).unwrap_or(0);
         let come = buffer.len() - end - b"\r\n".len();
-        if length >= LARGE_VALUE_BYTES || length == 0 || come >= length + b"\r\n".len() {
+        if length > MAX_SMALL_VALUE_BYTES || length == 0 || come >= length + b"\r\n".len() {
             return Some((length, come.min(length)));
         }
     }
