--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -160,6 +160,7 @@
     seed: u64,
     fleet: Fleet,
     program: PathBuf,
+    unreading_crowd: bool,
     system_calls: SystemCallFaults,
     slots: Vec<NodeSlot>,
     idle_connections: Vec<TcpStream>,
@@ -208,11 +209,12 @@
         }
         let (idle_connections, pipeline_reports, run_delays, violations) = Default::default();
         let (stopped_write_reports, slow_reader_reports, paused_value_reports) = Default::default();
-        let program = program.path.clone();
+        let (unreading_crowd, program) = (program.unreading_crowd, program.path.clone());
         Ok(Soak {
             seed,
             fleet,
             program,
+            unreading_crowd,
             system_calls,
             slots,
             idle_connections,
@@ -318,7 +320,10 @@
         let mut drawn_time = || start + Duration::from_millis(rng.u64(500..3000));
         // On a thread of their own, so that they delay no other client.
         let crowd_runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-        let crowd = crowd_runtime.spawn(ask_and_read_nothing(crowded, self.seed, drawn_time()));
+        let crowd_begins = drawn_time();
+        let crowd = self
+            .unreading_crowd
+            .then(|| crowd_runtime.spawn(ask_and_read_nothing(crowded, self.seed, crowd_begins)));
         let flood = crowd_runtime.spawn(flood(flooded, self.seed, drawn_time()));
         let processes = Arc::new(Mutex::new(self.process_ids()));
         let ended = Arc::new(AtomicBool::new(false));
@@ -340,7 +345,9 @@
             let values = runtime.block_on(reading).map_err(io::Error::other)?;
             self.paused_value_reports.extend(values.into_iter().map(|value| (node, value)));
         }
-        self.unreading_clients = runtime.block_on(crowd).map_err(io::Error::other)?;
+        if let Some(crowd) = crowd {
+            self.unreading_clients = runtime.block_on(crowd).map_err(io::Error::other)?;
+        }
         self.flood_commands = runtime.block_on(flood).map_err(io::Error::other)?;
         let mut reports = Vec::new();
         for load in loads {
--- a/crates/fleet/src/soak/system_calls.rs
+++ b/crates/fleet/src/soak/system_calls.rs
@@ -10,6 +10,8 @@
     pub path: PathBuf,
     /// The preloaded library; without it no system calls fail.
     pub fault_library: Option<PathBuf>,
+    /// Whether a crowd of clients asks for several large values each and reads nothing.
+    pub unreading_crowd: bool,
 }
 
 /// If the fault library is given, system calls fail on one in this many seeds.
