Check a request's id again when the core takes it

By reading of the change: the front end asks whether an id is known as it opens the request, and the id is recorded as an attempt of the earlier request gets its permit. A client that leaves and comes again at once may be asked about in between, since the core takes permits, timers and messages in any order, and a word of the other process may come then, too: the write is carried out again. The core checks once more as it takes the request, and fails it. Test: a_write_whose_id_became_known_behind_the_front_end_was_carried_out_again; before, it was served.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -574,6 +574,11 @@
             self.metrics.request_ended(call.class, Some(RequestOutcome::Refused));
             return drop(answer.send(Answer::Busy(0))); // the client may have disconnected
         }
+        // Checked by the front end as well; it may have become known since.
+        if self.recent_writes.contains(&call.id) {
+            self.metrics.request_ended(call.class, Some(RequestOutcome::Failed));
+            return drop(answer.send(Answer::Failed)); // the client may have disconnected
+        }
         let quota_ticket = match &mut self.quotas {
             None => None,
             Some(quotas) => match quotas.admit(self.clock.now(), &call, &self.setup.settings) {
