Take a start that is no longer told for no new process

By reading of the change: started_ms 0 means long ago, so that a list which tells 0 for a server whose start it told before is about the same process; its connections were closed. Test: a_start_that_is_no_longer_told_costs_no_connection; it was first run with the fix in place, so that its failure before was not seen.

--- a/crates/core/src/directory.rs
+++ b/crates/core/src/directory.rs
@@ -152,7 +152,8 @@
         server.is_origin = origin;
         // A server that has started anew is another process, at whatever address. A different machine type may speak a
         // different protocol, so its connections are not reused either.
-        let is_same_process = server.addr == entry.addr && server.entry.started_ms == entry.started_ms;
+        let has_started_anew = entry.started_ms > 0.0 && server.entry.started_ms != entry.started_ms;
+        let is_same_process = server.addr == entry.addr && !has_started_anew;
         if !is_same_process || *server.kind != *entry.kind {
             (server.addr, server.kind) = (entry.addr, entry.kind.as_str().into());
             server.idle.clear();
--- a/crates/lilacquay/tests/replaced_servers.rs
+++ b/crates/lilacquay/tests/replaced_servers.rs
@@ -29,11 +29,15 @@
         Site { cache, origin, discovery, node }
     }
 
-    /// Tells the node that another process of the cache has started at the address of the first, and waits until the
-    /// node asks for the next change.
+    /// Tells the node that another process of the cache has started at the address of the first.
     fn restart_cache(&self, version: u64) {
+        self.tell_start(version, 2_000);
+    }
+
+    /// Tells the node when the cache started, and waits until it asks for the next change.
+    fn tell_start(&self, version: u64, started_ms: u64) {
         let watch = self.discovery.call();
-        watch.http("200 OK", &list_with_start(version, &self.cache, 2_000, &self.origin));
+        watch.http("200 OK", &list_with_start(version, &self.cache, started_ms, &self.origin));
         let next = self.discovery.call();
         assert!(next.words[1].contains(&format!("after={version}")), "{:?}", next.words);
         std::mem::forget(next); // it stays open
@@ -77,6 +81,16 @@
     assert!(start.elapsed() < PATIENCE);
 }
 
+/// A start of 0 is long ago: no process has started since the one that is known.
+#[test]
+fn a_start_that_is_no_longer_told_costs_no_connection() {
+    let site = Site::new();
+    let mut client = site.node.client();
+    let first = site.read(&mut client, "i1");
+    site.tell_start(42, 0);
+    assert_eq!(site.read(&mut client, "i2"), first);
+}
+
 #[test]
 fn a_connection_that_was_in_use_as_its_process_was_replaced_was_kept_for_the_successor() {
     let site = Site::new();
