--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import re
@@ -21,7 +22,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2  # run.sh makes 1 of BROKEN, and 2 of whatever else Python may end with
 
 
 class CannotRun(Exception):
@@ -358,13 +359,19 @@
             # The platform passes the listening socket as descriptor 3. All other descriptors close at the exec.
             environment["EDGE_PASSED_SOCKET"] = "3"
             passed = self.listener.fileno()
-            options = {"close_fds": False, "preexec_fn": lambda: os.dup2(passed, 3, inheritable=True)}
+            options = {"close_fds": False}
+
+        def in_the_child():
+            ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG: it ends with this script, however that ends
+            if self.listener:
+                os.dup2(passed, 3, inheritable=True)
+
         self.log = open(os.path.join(folder, "log.txt"), "w+", encoding="utf-8")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                                        stdout=self.log, stderr=self.log, **options)
+                                        stdout=self.log, stderr=self.log, preexec_fn=in_the_child, **options)
         lab.nodes.append(self)
         for _ in range(600):
-            if self.process.poll() is not None:
+            if self.process.poll() is not None:  # with the program not built, too
                 raise CannotRun(f"the node has ended with {self.process.returncode}: {self.read_log()}")
             if await self.health():
                 break
@@ -493,11 +500,16 @@
         return await asyncio.wait_for(case(lab), limit_s)
 
     code, said = NOT_RUN, "it did not end"
+
+    def told_to_end(*_):
+        raise CannotRun("it was told to end")
+
+    signal.signal(signal.SIGTERM, told_to_end)
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
     try:
         code, said = loop.run_until_complete(bounded())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the script is no verdict on the rule
         said = f"the case could not run: {error!r}"
     finally:
         lab.end()
