Review scripts: end the play and its processes when a script is told to end

A play that was told to end while its loop was in a callback went on, and run.sh left it behind when it was ended itself. The signal now ends the play, which ends its node and removes its folder.

--- a/review/lab2/lab.py
+++ b/review/lab2/lab.py
@@ -502,14 +502,14 @@
     code, said = NOT_RUN, "it did not end"
 
     def told_to_end(*_):
-        raise CannotRun("it was told to end")
+        raise KeyboardInterrupt("it was told to end")  # passes through the loop's own handlers
 
     signal.signal(signal.SIGTERM, told_to_end)
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda *_: None)
     try:
         code, said = loop.run_until_complete(bounded())
-    except Exception as error:  # a fault of the script is no verdict on the rule
+    except (Exception, KeyboardInterrupt) as error:  # a fault of the script is no verdict on the rule
         said = f"the case could not run: {error!r}"
     finally:
         lab.end()
