--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption.
+# Plays the case; see claim.txt. TROUBLE=0 plays it without the disruption. What was sent, answered and run goes to record.txt here.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run, also if it was ended.
 cd "$(dirname "$0")" || exit 2
 timeout -k 3 117 python3 -B case.py &
