Forward a large value before other answers only once it is complete

Cause: the wire can end a value early only by closing. A value before other responses was buffered for 1 s at most (or the client's time and 0.4 s) and then forwarded while its server still gave it, so that all responses behind it depended on that server.

Change: a value with anything read behind it is complete before its first byte, or answered as failed after the client's time and 0.4 s, 1.9 s at most from its turn. The time it waits for earlier answers doesn't count.

A value that is whole in its client's time still has to come.

The value is buffered for up to 0.9 s longer.

--- a/crates/core/src/time_left.rs
+++ b/crates/core/src/time_left.rs
@@ -17,9 +17,8 @@
 /// How long after the client's deadline a value of which the client has received nothing is abandoned. A final answer is
 /// due within half a second of the deadline.
 const UNSTARTED_VALUE_GRACE: Duration = Duration::from_millis(400);
-/// A server that sends no byte of a value for this long while the client has received nothing of it is taken to have
-/// stalled. What has arrived of a value may be held back for less than 2 s.
-const UNSTARTED_VALUE_STALL_TIMEOUT: Duration = Duration::from_millis(1900);
+/// How long what has arrived of a value may be held back from its client; the limit is 2 s.
+const MAX_HOLD_BACK: Duration = Duration::from_millis(1900);
 
 /// The deadline to send to a server over a connection that took `connect_time` to establish.
 pub fn deadline_to_send(now: Instant, deadline: Instant, connect_time: Duration) -> Instant {
@@ -35,7 +34,9 @@
     now + VALUE_STALL_TIMEOUT
 }
 
-/// The time at which a value of which the client has received nothing is abandoned unless its server sends more.
-pub fn unstarted_value_read_deadline(last_received_at: Instant, client_deadline: Instant) -> Instant {
-    (last_received_at + UNSTARTED_VALUE_STALL_TIMEOUT).min(client_deadline + UNSTARTED_VALUE_GRACE)
+/// The time at which a value that is held back from its client until it is complete is abandoned. `held_since`: when its
+/// turn among the answers on its connection came; the time that an answer waits for those before it does not count.
+pub fn buffered_value_deadline(held_since: Instant, client_deadline: Instant) -> Instant {
+    let final_answer_due = client_deadline.max(held_since) + UNSTARTED_VALUE_GRACE;
+    final_answer_due.min(held_since + MAX_HOLD_BACK)
 }
--- a/crates/fronts/src/responses.rs
+++ b/crates/fronts/src/responses.rs
@@ -5,17 +5,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use lilacquay_core::time_left::unstarted_value_read_deadline;
+use lilacquay_core::time_left::buffered_value_deadline;
 use lilacquay_core::{Answer, PendingAnswer, Requests, ValueStream};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use crate::buffer_memory::ReservedMemory;
 
-/// How long a large value ahead of other responses is buffered. From then on it is forwarded as soon as more of it
-/// arrives, since a client may not be prepared to wait 2 s for the rest of the value from the server.
-const VALUE_BUFFERING_TIMEOUT: Duration = Duration::from_secs(1);
-/// A value of which bytes have come for at least this long is taken to go on. One that stops mostly does so at once.
-const STEADY_VALUE_PERIOD: Duration = Duration::from_millis(150);
 /// How often buffering checks whether the process is about to end.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -48,14 +43,15 @@
     pub memory: Option<ReservedMemory>,
 }
 
-/// A large value that is buffered before it is forwarded.
+/// A large value that is buffered until it is complete, because responses wait behind it.
 ///
-/// Without this, a value cut off in the middle would end the connection, and the responses behind it would be lost.
+/// Once a part of a value has been forwarded, only the end of the connection can tell the client that the rest will not
+/// come, and the responses behind the value would be lost with it. Before its first byte it can be answered as failed.
 pub(crate) struct BufferedValue<R> {
     pending: PendingAnswer,
     value: LargeValue<R>,
-    started_at: Instant,
-    last_received_at: Instant,
+    /// When it is answered as failed unless it is complete.
+    deadline: Instant,
 }
 
 impl<R> BufferedValue<R> {
@@ -68,54 +64,46 @@
     ) -> Self {
         let buffered = BytesMut::with_capacity(value_stream.length());
         let value = LargeValue { context, value_stream, buffered, memory: Some(memory) };
-        let now = Instant::now();
-        BufferedValue { pending, value, started_at: now, last_received_at: now }
+        let deadline = buffered_value_deadline(Instant::now(), pending.client_deadline());
+        BufferedValue { pending, value, deadline }
     }
 
-    /// Waits until the value is to be forwarded or has failed. Cancel safe.
+    /// Waits until the value is complete or has failed. Cancel safe.
     async fn fill(&mut self, requests: &Requests) -> BufferingResult {
         let LargeValue { value_stream, buffered, .. } = &mut self.value;
         while buffered.len() < value_stream.length() {
-            let read_deadline =
-                unstarted_value_read_deadline(self.last_received_at, self.pending.client_deadline());
-            match timeout(SHUTDOWN_CHECK_INTERVAL, value_stream.next()).await {
-                Ok(Some(piece)) => buffered.extend_from_slice(&piece.bytes),
-                Ok(None) => return BufferingResult::Truncated,
-                // The process is about to end: the value is given up so that the responses behind it are still written.
-                Err(_) if requests.is_shutting_down() => return BufferingResult::Truncated,
-                // Its client has received nothing of it, so that its answer must begin or fail now.
-                Err(_) if Instant::now() >= read_deadline => {
-                    let is_steady = self.last_received_at >= self.started_at + STEADY_VALUE_PERIOD;
-                    return if is_steady { BufferingResult::Forward } else { BufferingResult::Truncated };
-                }
-                Err(_) => continue,
+            // At the end of the process the value is given up, so that the responses behind it are still written.
+            if Instant::now() >= self.deadline || requests.is_shutting_down() {
+                return BufferingResult::Incomplete;
             }
-            self.last_received_at = Instant::now();
-            if self.last_received_at >= self.started_at + VALUE_BUFFERING_TIMEOUT {
-                break;
+            let check_at = self.deadline.min(Instant::now() + SHUTDOWN_CHECK_INTERVAL);
+            match timeout_at(check_at, value_stream.next()).await {
+                Ok(Some(piece)) => buffered.extend_from_slice(&piece.bytes),
+                Ok(None) => return BufferingResult::Incomplete,
+                Err(_) => {}
             }
         }
-        BufferingResult::Forward
+        BufferingResult::Complete
     }
 }
 
 /// How the buffering of a value ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BufferingResult {
-    /// The buffered bytes are forwarded, and the rest as it arrives.
-    Forward,
-    /// The value will not be complete.
-    Truncated,
+    /// All its bytes have arrived.
+    Complete,
+    /// They have not arrived in time, or never will.
+    Incomplete,
 }
 
 /// The response whose turn has come.
 pub(crate) enum NextResponse<R> {
     Ready(BytesMut),
     Answer(WaitingRequest<R>, Answer),
-    /// A large value, as far as it was buffered.
+    /// A large value that has been buffered to its end.
     Value(LargeValue<R>),
-    /// A large value that will not be complete.
-    Truncated(R),
+    /// A large value that was not complete in time. Nothing of it was forwarded.
+    Incomplete(R),
 }
 
 /// A queue of pending responses, the next one first.
@@ -159,8 +147,8 @@
             Some(Response::Ready(_)) => None,
             Some(Response::Waiting(request)) => Some((&mut request.pending).await),
             Some(Response::Buffering(value)) => match value.fill(requests).await {
-                BufferingResult::Forward => None,
-                BufferingResult::Truncated => Some(Answer::Failed),
+                BufferingResult::Complete => None,
+                BufferingResult::Incomplete => Some(Answer::Failed),
             },
             None => pending().await,
         };
@@ -184,7 +172,7 @@
                 NextResponse::Answer(request, answer.unwrap_or(Answer::Failed))
             }
             (Response::Buffering(value), None) => NextResponse::Value(value.value),
-            (Response::Buffering(value), Some(_)) => NextResponse::Truncated(value.value.context),
+            (Response::Buffering(value), Some(_)) => NextResponse::Incomplete(value.value.context),
         }
     }
 }
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -363,7 +363,7 @@
                 NextResponse::Answer(request, answer) => {
                     self.write_answer(request.context, answer, &mut text);
                 }
-                NextResponse::Truncated(context) => self.write_answer(context, Answer::Failed, &mut text),
+                NextResponse::Incomplete(context) => self.write_answer(context, Answer::Failed, &mut text),
                 NextResponse::Value(value) => {
                     self.open_requests -= 1;
                     return (text, Some(value));
@@ -382,7 +382,7 @@
         self.protocol.write_answer(context, answer, text);
     }
 
-    /// Handles a large value that begins to arrive: it is forwarded, or buffered if commands wait behind it.
+    /// Handles a large value that begins to arrive: it is forwarded, or buffered if any part of a command was read behind it.
     fn start_large_value(
         &mut self,
         request: WaitingRequest<P::ReplyContext>,
--- a/crates/lilacquay/tests/common/mod.rs
+++ b/crates/lilacquay/tests/common/mod.rs
@@ -110,6 +110,10 @@
     pub fn close(self) {
         self.stream.shutdown(Shutdown::Both).unwrap();
     }
+    /// Closes one whose asker may have hung up.
+    pub fn try_close(self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
 }
 
 /// A list of names and values as it came, but for the time: fails if that is more than the client's, in milliseconds.
@@ -621,6 +625,11 @@
         let value = bytes(&mut self.reader, length.parse().unwrap())?;
         line(&mut self.reader).map(|_| value)
     }
+    /// The next answer, with a value cut down to its first characters, so that a test that fails can print it.
+    pub fn short_answer(&mut self) -> Option<String> {
+        const SHOWN_CHARACTERS: usize = 30;
+        self.answer().map(|answer| answer.chars().take(SHOWN_CHARACTERS).collect())
+    }
     /// An answer, if one has begun to come.
     pub fn try_answer(&mut self) -> Option<String> {
         let stream = self.reader.get_ref();
