End the process with its last answer, not at the earliest time of SIGKILL

Cause: the shutdown deadline is set so that all is answered before the earliest SIGKILL (longest deadline, 3 s at most, and 0.7 s). The end of node::run took that for the only time of a kill and dropped all that was open 0.2 s after it.

Change: sessions hold a token while a response is pending or being written. After the deadline, by which all requests are answered and nothing more is read, as before, the process waits for the tokens, then up to 5 s for those clients to read and close. Each wait is bounded by itself: 5 s of a silent server, 5 s of a client that reads nothing. Without a value that flows it ends as early as before.

Cost: the process stays while a value flows, with that connection's memory.

--- a/crates/fronts/src/acceptor.rs
+++ b/crates/fronts/src/acceptor.rs
@@ -138,6 +138,17 @@
         self.0.sessions.wait().await;
     }
 
+    /// The number of connections with a pending response or one that is being written.
+    pub fn answering_count(&self) -> usize {
+        self.0.answering.len()
+    }
+
+    /// Waits until all responses have been written or given up. To be called once no more commands are read.
+    pub async fn wait_until_answered(&self) {
+        self.0.answering.close();
+        self.0.answering.wait().await;
+    }
+
     /// Tells one evictable connection to close, if there is one, and waits for a session to end or for
     /// [`EVICTION_WAIT`]. Returns whether a connection was evicted.
     async fn evict_one(&self, scope: EvictionScope) -> bool {
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -151,11 +151,12 @@
         stream.socket().set_nodelay(true)?;
         let (mut reader, mut writer) = (stream.clone(), stream.clone());
         let (shared, mut service_mode) = (self.shared.clone(), self.shared.service_mode.clone());
-        let (mut registration, mut just_answered) = (None, false);
+        let (mut registration, mut answering, mut just_answered) = (None, None, false);
         // Since when input has been waiting to be read, as far as that is known.
         let mut unread_since = None;
         loop {
             let nothing_pending = self.responses.is_empty();
+            answering = (!nothing_pending).then(|| answering.unwrap_or_else(|| shared.answering.token()));
             let mode = *service_mode.borrow_and_update();
             self.input.update_expected_length(&self.protocol);
             if self.input.must_be_discarded(!nothing_pending) {
--- a/crates/fronts/src/shared.rs
+++ b/crates/fronts/src/shared.rs
@@ -46,6 +46,8 @@
     /// Whether the node accepts connections, and when it closes those it has.
     pub(crate) service_mode: watch::Receiver<ServiceMode>,
     pub(crate) sessions: TaskTracker,
+    /// A token for each connection with a pending response or one that is being written.
+    pub(crate) answering: TaskTracker,
 }
 
 impl SharedState {
@@ -54,7 +56,7 @@
         // Clients may hold a third of the descriptors. A quarter of that is kept free of connections that rest between
         // requests, so that clients can open further ones.
         let evictable_connections = Arc::new(EvictableConnections::new((limits.connections * 3 / 4).max(1)));
-        let (session_ended, sessions) = Default::default();
+        let (session_ended, sessions, answering) = Default::default();
         SharedState {
             requests,
             limits,
@@ -63,6 +65,7 @@
             buffer_memory,
             service_mode,
             sessions,
+            answering,
         }
     }
 }
--- a/crates/lilacquay/src/main.rs
+++ b/crates/lilacquay/src/main.rs
@@ -8,6 +8,7 @@
 mod config_error;
 mod control;
 mod etcd;
+mod final_answers;
 mod fleet;
 mod handover;
 mod lifecycle;
--- a/crates/lilacquay/src/node.rs
+++ b/crates/lilacquay/src/node.rs
@@ -30,6 +30,7 @@
 use crate::admin::AdminHandler;
 use crate::config::{Config, ConfigSource};
 use crate::etcd::EtcdConfig;
+use crate::final_answers;
 use lilacquay_handover::messages::Message;
 
 use crate::handover::{self, HandoverPaths};
@@ -43,12 +44,6 @@
 
 /// How long client connections may still write after a core failure: the core has answered all open requests as failed.
 const WRITE_TIME_AFTER_CORE_FAILURE: Duration = Duration::from_millis(600);
-/// How long a process that was stalled over the shutdown deadline may write the answers that it owes.
-const WRITE_TIME_AFTER_STALL: Duration = Duration::from_millis(60);
-/// How long after the shutdown deadline answers that have begun are still written. The earliest kill is 0.25 s after that
-/// deadline, or up to 0.15 s sooner for a process that was stalled as it was told to end; a kill cuts off no more than
-/// the end of the process would.
-const WRITE_TIME_AFTER_DEADLINE: Duration = Duration::from_millis(200);
 /// Capacity of the queue of operators' commands that are waiting to be carried out.
 const COMMAND_QUEUE_CAPACITY: usize = 16;
 
@@ -274,11 +269,7 @@
     }
     // A process that was paused may get here before the core has given its last answers.
     core_handle.shut_down_at(Instant::now());
-    // The process is killed soon after this, so that connections that are still open are not waited for.
-    let now = Instant::now();
-    let shutdown_deadline = lifecycle.shutdown_deadline().unwrap_or(now);
-    let write_deadline = (now + WRITE_TIME_AFTER_STALL).max(shutdown_deadline + WRITE_TIME_AFTER_DEADLINE);
-    let _ = timeout_at(write_deadline, acceptor.wait_until_empty()).await;
+    final_answers::finish(&acceptor, lifecycle.shutdown_deadline()).await;
     Ok(())
 }
 
