Follow a discovery service that is steadily slower than the timeout

Cause: a call that took over 1 s (a watch its wait and 1 s) was closed and repeated with the same limit, so that none was ever answered.

The timeout follows the response times that were seen. After SIGHUP the core forgets failures at the old address, whose pauses of up to 5 s went on at the new one. etcd's pages and watches, which had the same fault with 2 s, get a timeout that doubles up to 5 s.

--- a/crates/core/src/driver.rs
+++ b/crates/core/src/driver.rs
@@ -374,6 +374,7 @@
                     let _ = answer.send(self.server_statuses(overrides));
                 }
             }
+            Message::ListSourceChanged => self.events.push_back(Event::ListSourceChanged),
             Message::ListFailed => {
                 self.request_log.list_failed();
                 self.events.push_back(Event::Members { scope: ListScope::Failed, members: Vec::new() });
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -41,6 +41,12 @@
         self.sender.send(Message::ListFailed).is_ok()
     }
 
+    /// Reports that the list comes from another place from now on, so that earlier failures say nothing about it. The
+    /// current list stays in use.
+    pub fn report_new_source(&self) {
+        let _ = self.sender.send(Message::ListSourceChanged); // the core may have ended
+    }
+
     /// If the list must be subscribed to: notified when the balancer requests the subscription, at the start and after
     /// a failure.
     pub fn subscribe_signal(&self) -> Option<&Notify> {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -27,6 +27,8 @@
     /// A list, the name of its source, and its version if the source has one.
     ListUpdated(ServerList, &'static str, Option<u64>),
     ListFailed,
+    /// The list's source is at another address.
+    ListSourceChanged,
     HandoverState(oneshot::Sender<HandoverState>),
     SetQuotas(Box<Admission>),
     ApplyOrder(Box<OrderRequest>, oneshot::Sender<Result<AppliedOrder, Refusal>>),
--- a/crates/members/src/etcd/follower.rs
+++ b/crates/members/src/etcd/follower.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use lilacquay_core::{Micros, ServerEntry, ServerList, ServerState};
 use lilacquay_etcd::api::event::EventType;
@@ -17,6 +18,7 @@
 
 use super::layout;
 use super::list_cache::CachedList;
+use crate::response_timeout::{ResponseTime, ResponseTimeout};
 
 /// Number of a call. Events of earlier calls are late and are ignored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -130,8 +132,10 @@
 pub struct Limits {
     /// Number of keys in a page.
     pub page_size: i64,
-    /// Timeout of a page, and of the first response of a watch.
+    /// Timeout of a page, and of the first response of a watch, at a store that is not known to be slower.
     pub response_timeout: Micros,
+    /// Upper limit of that timeout, which doubles with each call that has no response.
+    pub max_response_timeout: Micros,
     /// Time without a response after which a progress notification is requested on a watch.
     pub idle_before_progress_request: Micros,
     /// Time without a response after such a request after which the watch counts as dead.
@@ -163,6 +167,7 @@
         Limits {
             page_size: 500,
             response_timeout: 2_000_000,
+            max_response_timeout: 5_000_000,
             idle_before_progress_request: 2_000_000,
             progress_timeout: 1_000_000,
             initial_backoff: 50_000,
@@ -235,6 +240,8 @@
 /// A full list that is being read.
 struct ListRead {
     started_at: Micros,
+    /// When the open page was requested.
+    page_requested_at: Micros,
     /// Deadline of the open page.
     deadline: Micros,
     /// Cluster id and revision, from the first page.
@@ -278,6 +285,8 @@
     endpoint: usize,
     /// Failures in a row.
     failures: u32,
+    /// Timeout of the responses of the store, which may be slower than usual.
+    response_timeout: ResponseTimeout,
     /// Number of keys in a page, reduced when responses are too large.
     page_size: i64,
     /// Full lists in a row that conflict with the known history.
@@ -295,6 +304,10 @@
         let Options { prefix, endpoints, seed, limits, saves_cache } = options;
         let known = cached.filter(|cached| cached.prefix == prefix).map(StoreState::from);
         let (endpoints, page_size) = (endpoints.max(1), limits.page_size);
+        let response_timeout = ResponseTimeout::new(
+            Duration::from_micros(limits.response_timeout),
+            Duration::from_micros(limits.max_response_timeout),
+        );
         let mut rng = fastrand::Rng::with_seed(seed);
         let saved_at = known.as_ref().map_or(0, |known| known.as_of);
         Follower {
@@ -312,6 +325,7 @@
             endpoint: rng.usize(..endpoints),
             rng,
             failures: 0,
+            response_timeout,
             page_size,
             conflicting_lists: 0,
             unsaved: false,
@@ -326,15 +340,25 @@
             Phase::BackingOff { until, .. } => *until,
             Phase::ReadingList(read) => read.deadline,
             Phase::Watching(watch) => match watch.progress_requested_at {
-                _ if !watch.created => watch.started_at + self.limits.response_timeout,
+                _ if !watch.created => watch.started_at + self.response_timeout(),
                 None => watch.last_response_at + self.limits.idle_before_progress_request,
-                Some(requested_at) => requested_at + self.limits.progress_timeout,
+                Some(requested_at) => requested_at + self.progress_timeout(),
             },
         };
         let others = [self.save_due(), self.publish_due()];
         others.into_iter().flatten().fold(call, Micros::min)
     }
 
+    fn response_timeout(&self) -> Micros {
+        self.response_timeout.current().as_micros() as Micros
+    }
+
+    /// Time without a response to a request for progress after which the watch counts as dead. As much longer than usual as
+    /// the other responses may take.
+    fn progress_timeout(&self) -> Micros {
+        self.limits.progress_timeout + self.response_timeout().saturating_sub(self.limits.response_timeout)
+    }
+
     /// The known list in the form in which it is cached.
     pub fn to_cached_list(&self) -> Option<CachedList> {
         let known = self.known.as_ref()?;
@@ -363,6 +387,7 @@
             Event::EndpointsChanged(endpoints) => {
                 self.endpoints = endpoints.max(1);
                 (self.endpoint, self.failures) = (self.rng.usize(..self.endpoints), 0);
+                self.response_timeout.reset();
                 self.start_list_read(now, out);
             }
         }
@@ -396,8 +421,7 @@
             out.push(Action::Log(Notice::CacheLoaded(known.revision, known.items.len(), age)));
             self.publish_full_list(now, out);
         }
-        let response_timeout = self.limits.response_timeout;
-        let progress_timeout = self.limits.progress_timeout;
+        let (response_timeout, progress_timeout) = (self.response_timeout(), self.progress_timeout());
         match &mut self.phase {
             Phase::BackingOff { until, read_list } if *until <= now => {
                 let max_age = self.limits.max_resume_age;
@@ -407,9 +431,11 @@
                 }
             }
             Phase::ReadingList(read) if read.deadline <= now => {
+                self.response_timeout.record_timeout();
                 self.retry_at_next_endpoint(now, self.is_reading_list(), "no response", out);
             }
             Phase::Watching(watch) if !watch.created && watch.started_at + response_timeout <= now => {
+                self.response_timeout.record_timeout();
                 self.retry_at_next_endpoint(now, self.is_reading_list(), "no response", out);
             }
             Phase::Watching(watch) if watch.created => match watch.progress_requested_at {
@@ -418,6 +444,7 @@
                     out.push(Action::RequestProgress);
                 }
                 Some(requested_at) if requested_at + progress_timeout <= now => {
+                    self.response_timeout.record_timeout();
                     self.retry_at_next_endpoint(now, false, "the watch is silent", out);
                 }
                 _ => {}
@@ -442,8 +469,16 @@
     fn start_list_read(&mut self, now: Micros, out: &mut Vec<Action>) {
         let next_key = self.prefix.clone().into_bytes();
         let (cluster, revision, items) = Default::default();
-        let deadline = now + self.limits.response_timeout;
-        let read = ListRead { started_at: now, deadline, cluster, revision, items, next_key };
+        let deadline = now + self.response_timeout();
+        let read = ListRead {
+            started_at: now,
+            page_requested_at: now,
+            deadline,
+            cluster,
+            revision,
+            items,
+            next_key,
+        };
         self.phase = Phase::ReadingList(read);
         self.request_page(out);
     }
@@ -527,6 +562,8 @@
 
     fn on_page(&mut self, now: Micros, page: RangeResponse, out: &mut Vec<Action>) {
         let Phase::ReadingList(read) = &mut self.phase else { return };
+        let page_time = Duration::from_micros(now.saturating_sub(read.page_requested_at));
+        self.response_timeout.record_response(ResponseTime::Exactly(page_time));
         if let Err(reason) = read.accept_page(&page, &self.prefix, self.limits.max_servers) {
             return self.retry_at_next_endpoint(now, true, reason, out);
         }
@@ -543,8 +580,9 @@
             Phase::ReadingList(read) if !page.more => self.on_list_complete(now, read, out),
             phase => {
                 self.phase = phase;
+                let deadline = now + self.response_timeout();
                 if let Phase::ReadingList(read) = &mut self.phase {
-                    read.deadline = now + self.limits.response_timeout;
+                    (read.page_requested_at, read.deadline) = (now, deadline);
                 }
                 self.request_page(out);
             }
@@ -657,6 +695,8 @@
         }
         if response.created {
             watch.created = true;
+            let open_time = Duration::from_micros(now.saturating_sub(watch.started_at));
+            self.response_timeout.record_response(ResponseTime::Exactly(open_time));
             // The store may have been restored to an older revision; a watch from a future revision would then deliver
             // nothing. Reading the list, which needs a quorum, distinguishes such a store from a member that only lags.
             if header.revision < known.revision && !watch.follows_list_read {
--- a/crates/members/src/etcd/follower_tests.rs
+++ b/crates/members/src/etcd/follower_tests.rs
@@ -300,6 +300,45 @@
     assert!(harness.next_call() <= 2 * SECOND + 100_000, "a watch that is never created times out too");
 }
 
+/// A retry with the same timeout never succeeds at a store that is steadily slower.
+#[test]
+fn a_store_that_is_steadily_slower_than_the_timeout_was_never_followed() {
+    const RESPONSE_TIME: Micros = 2_500_000;
+    let mut harness = Harness::new(1, None);
+    let since = harness.now;
+    while harness.updates.is_empty() || !harness.watching {
+        assert!(harness.now < since + 10 * SECOND, "no list");
+        let (call, answered_at) = (harness.call, harness.now + RESPONSE_TIME);
+        while harness.call == call && harness.follower.next_wakeup() < answered_at {
+            harness.advance_to_wakeup();
+        }
+        if harness.call == call {
+            harness.now = answered_at;
+            harness.page(page(10, vec![kv("box-1", 1, value(1, "serving"))], false));
+        }
+    }
+    let call = harness.call;
+    harness.now += RESPONSE_TIME;
+    harness.send(Event::Tick);
+    harness.watch_response(created(10));
+    assert!(harness.call == call && harness.watching, "the watch was given up before it was created");
+    // A progress notification takes as long.
+    harness.advance_to_wakeup();
+    assert_eq!(harness.progress_requests, 1);
+    harness.now += 1_900_000;
+    harness.send(Event::Tick);
+    assert!(harness.call == call && harness.watching, "a slow watch was taken for a silent one");
+}
+
+#[test]
+fn a_reload_forgets_how_slow_the_old_endpoints_were() {
+    let mut harness = Harness::new(1, None);
+    harness.next_call();
+    harness.next_call();
+    harness.send(Event::EndpointsChanged(1));
+    assert!(harness.next_call() <= 2 * SECOND + 100_000);
+}
+
 #[test]
 fn the_backoff_doubles_up_to_its_limit_and_is_reset_by_a_stable_watch() {
     let mut harness = Harness::new(3, None);
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod discovery;
 pub mod etcd;
+pub mod response_timeout;
--- a/crates/paddlefold/src/api.rs
+++ b/crates/paddlefold/src/api.rs
@@ -320,6 +320,8 @@
         /// The entries.
         members: Vec<Member>,
     },
+    /// The list comes from another place from now on: earlier failures to get it say nothing about that.
+    ListSourceChanged,
     /// A client's request arrived; it must get exactly one final answer.
     Request(Request),
     /// An attempt ended.
--- a/crates/paddlefold/src/balancer.rs
+++ b/crates/paddlefold/src/balancer.rs
@@ -143,6 +143,7 @@
         }
         match event {
             Event::Members { scope, members } => self.update_members(scope, members, actions),
+            Event::ListSourceChanged => self.list_failures = self.list_failures.map(|_| 0),
             Event::Request(request) if self.open_requests.contains_key(&request.id) => {} // an id in use
             Event::Request(request) => self.on_request(request, actions),
             Event::Outcome(end) => self.on_outcome(end, actions),
--- a/crates/paddlefold/tests/rules.rs
+++ b/crates/paddlefold/tests/rules.rs
@@ -261,6 +261,18 @@
     }
 }
 
+#[test]
+fn failures_at_an_old_address_delayed_the_calls_at_a_new_one() {
+    let mut node = Node::new(Settings { must_subscribe: true, ..settings(Mode::Through) }, 0);
+    for _ in 0..8 {
+        node.update_list(ListScope::Failed, Vec::new());
+    }
+    node.handle(Event::ListSourceChanged);
+    let failed = node.update_list(ListScope::Failed, Vec::new());
+    let (after, _) = first_timer(&failed).expect("subscribes again later");
+    assert!(after <= SECOND, "what a new configuration brings counts as told after 4 s: {after} us");
+}
+
 #[test]
 fn with_an_empty_list_requests_are_answered_in_time() {
     let mut through = Node::new(settings(Mode::Through), 0);
