Read ahead where no command may be started, so that a client's close is seen

Cause: at 1,024 pending responses a session stopped reading and peeked for the close. The end of the stream lies behind unread input, of which the client's system holds what the socket's buffer doesn't take. A closed client's system goes on sending, so that bytes prove nothing.

Change: where nothing more may be started, input is read into memory, 4 MiB a connection and 1/16 of the node's memory in all. The end shows as it arrives, and the core cancels what waits for that client, wherever it does. What was read ahead is started in turn with the time of its arrival, and is answered at the end of the process.

--- a/crates/fronts/src/arriving_command.rs
+++ b/crates/fronts/src/arriving_command.rs
@@ -17,6 +17,7 @@
 use crate::buffer_pool::{MIN_SOCKET_BUFFER_BYTES, MemoryWait, ReservationState};
 use crate::close_policy::LongCommand;
 use crate::protocol::{PartialCommand, Protocol};
+use crate::read_ahead::{ReadAhead, ReadAheadResult};
 use crate::socket::{ReadLimits, count_unread, read, wait_for_close};
 
 /// Any connection may have a buffer of up to this size; larger ones need memory from the pools.
@@ -26,6 +27,17 @@
 /// How often a connection that waits for memory is checked for more input.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Which input a session may handle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ReadMode {
+    /// What was read ahead; if there is none, what is available.
+    Read,
+    /// None now: input is read ahead, so that the client's close is seen.
+    ReadAhead,
+    /// None, and no more is read. Only the client's close is waited for.
+    WaitForClose,
+}
+
 /// What a session has received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Received {
@@ -33,6 +45,8 @@
     Bytes(usize),
     /// No bytes, but what may be read may have changed.
     MemoryChanged,
+    /// Bytes that were read ahead, or none, with the client still there.
+    ReadAhead,
 }
 
 /// A command of which the rest is discarded.
@@ -55,6 +69,10 @@
 /// The input of one connection.
 pub(crate) struct ArrivingCommand<R> {
     pub buffer: BytesMut,
+    /// What was read behind the buffer's bytes while no more commands could be started.
+    read_ahead: ReadAhead,
+    /// When the bytes that were last added to the buffer arrived, if they had been read ahead.
+    read_ahead_arrival: Option<Instant>,
     /// The length of the arriving command in bytes, as far as it is known; 0 while the buffer is small.
     expected_length: usize,
     memory: Option<ReservedMemory>,
@@ -70,6 +88,8 @@
     pub fn new(metrics: BufferMetrics) -> Self {
         ArrivingCommand {
             buffer: BytesMut::new(),
+            read_ahead: ReadAhead::default(),
+            read_ahead_arrival: None,
             expected_length: 0,
             memory: None,
             wait: None,
@@ -82,7 +102,22 @@
 
     /// Whether part of a command has arrived.
     pub fn is_partial(&self) -> bool {
-        !self.buffer.is_empty() || self.discarded.is_some()
+        !self.buffer.is_empty() || self.discarded.is_some() || self.has_read_ahead()
+    }
+
+    /// Whether some input was read ahead and is still to be handled.
+    pub fn has_read_ahead(&self) -> bool {
+        !self.read_ahead.is_empty()
+    }
+
+    /// The bytes that were read and not handled.
+    pub fn unhandled_bytes(&self) -> usize {
+        self.buffer.len() + self.read_ahead.total_bytes()
+    }
+
+    /// When the bytes that were last added to the buffer arrived, if they had been read ahead.
+    pub fn take_read_ahead_arrival(&mut self) -> Option<Instant> {
+        self.read_ahead_arrival.take()
     }
 
     pub fn is_discarded(&self) -> bool {
@@ -145,31 +180,64 @@
         }
     }
 
-    /// Reads available input, as far as there is memory for it. If `may_read` is false, only waits for the client to close.
-    /// Cancel safe.
+    /// Moves bytes that were read ahead to the buffer, if there are any; returns how many.
+    fn take_read_ahead(&mut self, limits: ReadLimits) -> Option<usize> {
+        let (bytes, arrived_at) = self.read_ahead.take(limits.max_bytes())?;
+        let read = bytes.len();
+        if self.buffer.is_empty() {
+            self.buffer = bytes;
+        } else {
+            self.buffer.reserve(limits.missing_capacity(self.buffer.len()).max(read));
+            self.buffer.extend_from_slice(&bytes);
+        }
+        self.read_ahead_arrival = Some(arrived_at);
+        Some(read)
+    }
+
+    /// Adds input to the buffer, as far as there is memory for it and the mode allows. Cancel safe.
     ///
     /// `has_pending_response`: whether the client is owed answers to earlier commands.
     pub async fn receive<P: Protocol<ReplyContext = R>>(
         &mut self,
-        may_read: bool,
+        mode: ReadMode,
         has_pending_response: bool,
         reader: &mut Stream,
         protocol: &P,
         shared_memory: &BufferMemory,
         unread_since: &mut Option<Instant>,
     ) -> io::Result<Received> {
-        if !may_read {
-            return wait_for_close(reader, unread_since).await.map(|()| Received::Bytes(0));
+        match mode {
+            ReadMode::Read => {}
+            ReadMode::ReadAhead => {
+                return self.read_ahead.read(reader, shared_memory, unread_since).await.map(|result| {
+                    match result {
+                        ReadAheadResult::Open => Received::ReadAhead,
+                        ReadAheadResult::Closed => Received::Bytes(0),
+                    }
+                });
+            }
+            ReadMode::WaitForClose => {
+                return wait_for_close(reader, unread_since).await.map(|()| Received::Bytes(0));
+            }
         }
         if let Some(command) = &self.discarded {
             let limits = ReadLimits::at_most(command.remaining_bytes.min(DISCARD_BYTES_PER_READ));
+            if let Some(read) = self.take_read_ahead(limits) {
+                return Ok(Received::Bytes(read));
+            }
             return read(reader, &mut self.buffer, limits).await.map(Received::Bytes);
         }
         if self.buffer.len() < SMALL_BUFFER_BYTES {
+            if let Some(read) = self.take_read_ahead(ReadLimits::default()) {
+                return Ok(Received::Bytes(read));
+            }
             return read(reader, &mut self.buffer, ReadLimits::default()).await.map(Received::Bytes);
         }
         let limits = ReadLimits::expecting(self.needed_bytes());
         if self.is_granted() {
+            if let Some(read) = self.take_read_ahead(limits) {
+                return Ok(Received::Bytes(read));
+            }
             return tokio::select! {
                 biased;
                 () = Self::memory_changed(&self.memory) => Ok(Received::MemoryChanged),
@@ -177,10 +245,13 @@
             };
         }
         // Memory is not held for a command whose rest is never sent.
-        let unread_bytes = tokio::select! {
-            biased;
-            () = Self::memory_changed(&self.memory) => return Ok(Received::MemoryChanged),
-            unread_bytes = count_unread(reader, self.count_limit()) => unread_bytes?,
+        let unread_bytes = match self.read_ahead.total_bytes() {
+            0 => tokio::select! {
+                biased;
+                () = Self::memory_changed(&self.memory) => return Ok(Received::MemoryChanged),
+                unread_bytes = count_unread(reader, self.count_limit()) => unread_bytes?,
+            },
+            read_ahead_bytes => read_ahead_bytes,
         };
         if unread_bytes == 0 {
             return Ok(Received::Bytes(0));
@@ -188,6 +259,9 @@
         unread_since.get_or_insert_with(|| stall::estimated_arrival(Instant::now()));
         let command = protocol.partial_command(&self.buffer);
         if command.as_ref().is_some_and(|command| self.is_short_and_whole(command, unread_bytes)) {
+            if let Some(read) = self.take_read_ahead(limits) {
+                return Ok(Received::Bytes(read));
+            }
             return read(reader, &mut self.buffer, limits).await.map(Received::Bytes);
         }
         let wait = self.ask_for_memory(command.as_ref(), shared_memory, unread_bytes);
@@ -316,6 +390,7 @@
 
     /// Drops all input.
     pub fn clear(&mut self) {
+        self.read_ahead.clear();
         (self.buffer, self.memory, self.wait, self.discarded) = (BytesMut::new(), None, None, None);
     }
 }
--- a/crates/fronts/src/buffer_memory.rs
+++ b/crates/fronts/src/buffer_memory.rs
@@ -1,5 +1,6 @@
-//! The memory for long commands and large values that all connections share, in three [pools](BufferPool): short
-//! commands do not wait for long ones, and no command waits for a client that reads a large value slowly.
+//! The memory for long commands, large values and input that is read ahead, which all connections share, in
+//! [pools](BufferPool) of their own: short commands do not wait for long ones, and no command waits for a client that reads a
+//! large value slowly or sends more than can be started.
 
 use std::collections::HashMap;
 use std::future::pending;
@@ -17,6 +18,8 @@
 pub(crate) const SHORT_COMMAND_BYTES: usize = 2 * MAX_BUFFERED_VALUE_BYTES;
 /// One part in this many of the memory is for short commands.
 const SHORT_COMMAND_DIVISOR: usize = 4;
+/// Input that is read ahead may take one part in this many of the memory, on top of what commands have.
+const READ_AHEAD_DIVISOR: usize = 2;
 
 /// The memory for long commands and large values.
 pub(crate) struct BufferMemory {
@@ -26,6 +29,8 @@
     /// Large values that are collected before other answers, until their clients have taken what was collected. As many
     /// bytes as for long commands, on top of what commands have.
     values: Arc<SharedPool>,
+    /// Input of clients that send more than can be started.
+    read_ahead: Arc<SharedPool>,
 }
 
 impl BufferMemory {
@@ -38,6 +43,7 @@
             short_commands: pool(short_bytes),
             long_commands: pool(long_bytes),
             values: pool(long_bytes),
+            read_ahead: pool(bytes / READ_AHEAD_DIVISOR),
         }
     }
 
@@ -54,12 +60,21 @@
 
     /// Reserves memory for a value, if there is some now.
     pub fn try_reserve_value(&self, bytes: usize) -> Option<ReservedMemory> {
-        let now = Instant::now();
-        let id = self.values.change(now, |pool| pool.try_reserve(now, bytes))?;
-        Some(ReservedMemory::new(self.values.clone(), id, bytes))
+        try_reserve(&self.values, bytes)
+    }
+
+    /// Reserves memory for input that is read ahead, if there is some now.
+    pub fn try_reserve_read_ahead(&self, bytes: usize) -> Option<ReservedMemory> {
+        try_reserve(&self.read_ahead, bytes)
     }
 }
 
+fn try_reserve(pool: &Arc<SharedPool>, bytes: usize) -> Option<ReservedMemory> {
+    let now = Instant::now();
+    let id = pool.change(now, |pool| pool.try_reserve(now, bytes))?;
+    Some(ReservedMemory::new(pool.clone(), id, bytes))
+}
+
 /// A pool, and the sessions to notify of its changes.
 struct SharedPool {
     state: Mutex<PoolState>,
--- a/crates/fronts/src/lib.rs
+++ b/crates/fronts/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod eviction_queue;
 pub mod memcache;
 mod protocol;
+mod read_ahead;
 pub mod resp;
 mod responses;
 mod session;
--- a/crates/fronts/src/session.rs
+++ b/crates/fronts/src/session.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::debug;
 
-use crate::arriving_command::{ArrivingCommand, Received, RefusedCommand};
+use crate::arriving_command::{ArrivingCommand, ReadMode, Received, RefusedCommand};
 use crate::buffer_memory::ReservedMemory;
 use crate::close_policy::{CloseDecision, ClosePolicy, ConnectionState, may_read, times_out_at};
 use crate::close_reason::CloseReason;
@@ -25,7 +25,7 @@
 use crate::shared::SharedState;
 use crate::socket::{wait_for_close, write_all};
 
-/// The most pending responses on one connection, errors included; beyond that nothing more is read.
+/// The most pending responses on one connection, errors included; beyond that no more commands are started.
 const MAX_PENDING_RESPONSES: usize = 1024;
 /// The most commands started before other tasks get to run.
 const COMMANDS_PER_TURN: usize = 32;
@@ -105,7 +105,7 @@
         let peer = stream.peer_addr().ok();
         let stream = Stream::new(stream);
         let reason = self.serve(&stream).await.unwrap_or_else(CloseReason::from);
-        let (owed, unread) = (self.responses.len(), self.input.buffer.len());
+        let (owed, unread) = (self.responses.len(), self.input.unhandled_bytes());
         debug!(?peer, owed, unread, "client connection closed: {reason}");
         self.shared.requests.metrics().connection_closed(reason.name());
         if reason.is_client_side() {
@@ -174,17 +174,16 @@
                     self.shared.evictable_connections.register(activity, self.last_progress_at)
                 });
             }
-            let may_start_command = self.may_start_command() || self.input.is_discarded();
-            let reading = may_start_command && !self.may_have_command && may_read(mode, &state);
+            let read_mode = self.read_mode(may_read(mode, &state));
             let times_out_at = times_out_at(&state);
             tokio::select! {
                 biased;
-                received = self.input.receive(reading, !nothing_pending, &mut reader, &self.protocol, &shared.buffer_memory, &mut unread_since) => {
+                received = self.input.receive(read_mode, !nothing_pending, &mut reader, &self.protocol, &shared.buffer_memory, &mut unread_since) => {
                     match received? {
                         Received::Bytes(0) => return Ok(CloseReason::ClientDisconnected),
                         Received::Bytes(read) => self.received(read, &mut unread_since),
                         Received::MemoryChanged if self.input.is_granted() => self.last_read_at = Instant::now(),
-                        Received::MemoryChanged => {}
+                        Received::MemoryChanged | Received::ReadAhead => {}
                     }
                 }
                 response = self.responses.next(&self.shared.requests), if !nothing_pending => {
@@ -213,6 +212,21 @@
         }
     }
 
+    /// Which input may be handled now.
+    ///
+    /// `may_read_more`: whether the service mode allows more to be read.
+    fn read_mode(&self, may_read_more: bool) -> ReadMode {
+        let may_handle = self.may_start_command() || self.input.is_discarded();
+        let expects_more = self.malformed_at.is_none() && !self.quit_requested;
+        match (may_handle, may_read_more) {
+            (true, _) if self.may_have_command => ReadMode::WaitForClose, // the buffer's commands come first
+            (true, true) => ReadMode::Read,
+            (true, false) if self.input.has_read_ahead() => ReadMode::Read,
+            (false, true) if expects_more => ReadMode::ReadAhead,
+            _ => ReadMode::WaitForClose,
+        }
+    }
+
     /// The state of the connection for the close policy.
     fn connection_state(&self, just_answered: bool) -> ConnectionState {
         ConnectionState {
@@ -220,7 +234,8 @@
             connected_at: self.connected_at,
             last_progress_at: self.last_progress_at,
             last_read_at: self.last_read_at,
-            has_pending_response: !self.responses.is_empty(),
+            // What was read ahead is answered as well.
+            has_pending_response: !self.responses.is_empty() || self.input.has_read_ahead(),
             in_command: self.input.is_partial(),
             has_sent_valid_command: self.has_sent_valid_command,
             has_opened_request: self.has_opened_request,
@@ -256,10 +271,13 @@
     fn received(&mut self, read: usize, unread_since: &mut Option<Instant>) {
         self.last_read_at = Instant::now();
         stall::record_activity(None);
-        self.arrived_at = unread_since.unwrap_or(stall::estimated_arrival(self.last_read_at));
+        let read_ahead_arrival = self.input.take_read_ahead_arrival();
+        self.arrived_at = read_ahead_arrival
+            .or(*unread_since)
+            .unwrap_or_else(|| stall::estimated_arrival(self.last_read_at));
         self.input.record_arrival();
         let buffer = &self.input.buffer;
-        if buffer.len() < buffer.capacity() {
+        if read_ahead_arrival.is_none() && buffer.len() < buffer.capacity() {
             *unread_since = None; // the read left spare capacity, so nothing is left to read
         }
         if self.has_sent_valid_command && read == buffer.len() && !self.input.is_discarded() {
--- a/crates/fronts/src/socket.rs
+++ b/crates/fronts/src/socket.rs
@@ -94,6 +94,19 @@
         ReadLimits { expected_length, max_bytes: LONG_COMMAND_READ_BYTES }
     }
 
+    /// The most bytes to read.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
+    /// How much more capacity a buffer of this many bytes needs.
+    pub fn missing_capacity(&self, buffered_bytes: usize) -> usize {
+        match self.expected_length {
+            0 => buffered_bytes,
+            expected_length => expected_length.saturating_sub(buffered_bytes),
+        }
+    }
+
     /// For reading no further than this.
     pub fn at_most(max_bytes: usize) -> ReadLimits {
         ReadLimits { max_bytes, ..ReadLimits::default() }
@@ -109,11 +122,7 @@
     poll_fn(|cx| {
         ready!(reader.socket().poll_read_ready(cx))?;
         // Reserves all that a long command needs in one piece; otherwise doubles the buffer.
-        let capacity = match limits.expected_length {
-            0 => buffer.len(),
-            expected_length => expected_length.saturating_sub(buffer.len()),
-        };
-        buffer.reserve(MIN_READ_CAPACITY.max(capacity));
+        buffer.reserve(MIN_READ_CAPACITY.max(limits.missing_capacity(buffer.len())));
         let mut limited = (&mut *buffer).limit(limits.max_bytes);
         let read = poll_read_buf(Pin::new(&mut *reader), cx, &mut limited);
         if read.is_pending() && buffer.is_empty() {
