Soak: large values before other answers, late kills, clients that send much and go

Pipelining clients asked for no large value, the platform always killed at the earliest time, and a client that left had sent little.

Each occurrence is counted: "large reads in pipelines" and those that failed, "values that outlived the time for answers", "killed with answers begun", "sent much and left".

New: no attempt begins for a client that sent much and left. A cut value is excused only where its process was killed while it came, no longer where it was told to end. A node that was killed while it still wrote answers no longer counts as stuck: its log says that answers are being written, and a client must have been reading a value that its server had begun, or it counts.

The checks move to a module of their own. Violations tell what servers recorded of a value and what was done to the node.

--- a/crates/fleet/src/soak/faults.rs
+++ b/crates/fleet/src/soak/faults.rs
@@ -26,8 +26,34 @@
 /// Actions with their times and nodes.
 pub(super) type ProcessActions = Vec<(Duration, usize, ProcessAction)>;
 
-/// A planned restart: SIGTERM, perhaps repeated and with SIGHUP before or after it; then SIGKILL at the earliest time at which
-/// the platform sends it, and the start of the next process.
+/// When the platform may kill a node that it has told to end, at the earliest.
+const EARLIEST_KILL: Duration = MAX_DEADLINE.saturating_add(KILL_DELAY);
+/// When the last process that replaces another has started: before all nodes are told to end.
+const LAST_RESTART: Duration = FAULT_PERIOD.saturating_sub(Duration::from_millis(300));
+/// The longest time for which the platform may wait beyond the earliest kill, in milliseconds.
+const MAX_KILL_LATENESS_MS: u64 = 2500;
+
+/// A planned restart whose node is killed later than at the earliest time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LateKill {
+    pub node: usize,
+    pub sigterm_at: Duration,
+}
+
+/// The restarts among the actions whose node is killed at least 0.3 s later than at the earliest time.
+pub(super) fn late_kills(actions: &ProcessActions) -> Vec<LateKill> {
+    let kills = actions.iter().filter(|(_, _, action)| *action == ProcessAction::Kill);
+    let late_kill = |(killed_at, node, _): &(Duration, usize, ProcessAction)| {
+        let term = (*node, ProcessAction::Signal(Signal::TERM));
+        let (sigterm_at, ..) = actions.iter().find(|(_, node, action)| (*node, *action) == term)?;
+        let is_late = *killed_at >= *sigterm_at + EARLIEST_KILL + Duration::from_millis(300);
+        is_late.then_some(LateKill { node: *node, sigterm_at: *sigterm_at })
+    };
+    kills.filter_map(late_kill).collect()
+}
+
+/// A planned restart: SIGTERM, perhaps repeated and with SIGHUP before or after it; then SIGKILL, at the earliest time at which
+/// the platform sends it or later, and the start of the next process.
 fn restart(rng: &mut fastrand::Rng, at: Duration, node: usize) -> ProcessActions {
     let mut actions = vec![(at, node, ProcessAction::Signal(Signal::TERM))];
     for (signal, chance) in [(Signal::TERM, 0.5), (Signal::HUP, 0.5), (Signal::HUP, 0.3)] {
@@ -39,7 +65,9 @@
             actions.push((when, node, ProcessAction::Signal(signal)));
         }
     }
-    let killed_at = at + MAX_DEADLINE + KILL_DELAY;
+    let lateness = if rng.bool() { rng.u64(0..MAX_KILL_LATENESS_MS) } else { 0 };
+    let earliest = at + EARLIEST_KILL;
+    let killed_at = (earliest + Duration::from_millis(lateness)).min(LAST_RESTART.max(earliest));
     actions.extend([(killed_at, node, ProcessAction::Kill), (killed_at, node, ProcessAction::Start)]);
     actions
 }
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -3,7 +3,9 @@
 //! [`run_seed`] plays one seed and returns the violations of the invariants, as seen by the clients and the stand-in
 //! servers, with counts of how often each fault met a request.
 
+mod checks;
 mod faults;
+mod leaving_clients;
 mod pipelined;
 mod process;
 mod run_delay;
@@ -26,17 +28,21 @@
 
 use crate::clients::{self, Class, ClientRequest, Load, Outcome, Report, RequestKind};
 use crate::clock::Micros;
-use crate::record::{Event, Record};
+use crate::record::Event;
 use crate::verdict::{Violation, check};
 use crate::{Fleet, FleetConfig};
 
-use faults::{ProcessAction, process_actions, server_script};
+use checks::{
+    allow_for_pauses, arrived_while_listener_closed, large_value_sent, stopped_write_violations, value_given,
+};
+use faults::{LateKill, ProcessAction, late_kills, process_actions, server_script};
+use leaving_clients::{Departure, send_much_and_leave};
 use pipelined::{Pace, PipelineReport, run_pipelining_client};
-use process::Process;
+use process::{ExitKind, Process};
 use run_delay::RunDelays;
 use slow_clients::{PausedValueReport, ask_and_read_nothing, flood, read_paused_values};
 use slow_readers::{SlowReaderReport, run_slow_reader};
-use stopped_writes::{STOPPED_CLIENT_LIMIT, StoppedWriteReport, run_stopped_writes};
+use stopped_writes::{StoppedWriteReport, run_stopped_writes};
 use system_calls::SystemCallFaults;
 
 pub use system_calls::{Program, SYSCALL_FAULT_SEED_INTERVAL};
@@ -72,6 +78,15 @@
 const SLOW_READER_INTERVAL: usize = 2;
 /// One in this many nodes has a client that reads values whose servers pause.
 const PAUSED_VALUE_INTERVAL: usize = 4;
+/// One in this many nodes has clients that send much at once and leave.
+const LEAVING_CLIENT_INTERVAL: usize = 8;
+/// How long before its node is told to end a client begins to read values whose servers pause.
+const READS_BEFORE_SIGTERM: Duration = Duration::from_millis(1200);
+/// By when after SIGTERM a node has answered all requests, in microseconds. What flows after that has outlived the time for
+/// answers.
+const ANSWER_TIME_US: Micros = 2_650_000;
+/// By when after a kill the clients of the process have seen their connections end, in microseconds.
+const SOCKET_CLOSE_TIME_US: Micros = 100_000;
 /// The memory that a process of a node may hold, in MiB: half of what its configuration allows.
 const MAX_MEMORY_MIB: usize = 96;
 /// When clients begin to stop in writes, in milliseconds.
@@ -113,6 +128,8 @@
     pauses: Vec<(Micros, Micros)>,
     /// When each of its processes got its first SIGTERM, on the fleet's clock.
     terminated_at: Vec<Micros>,
+    /// When its processes were killed that were still writing answers, on the fleet's clock.
+    killed_answering_at: Vec<Micros>,
     /// Whether the running process has been sent SIGTERM.
     is_terminating: bool,
     /// The log lines in which its processes report broken rules.
@@ -145,13 +162,12 @@
         Ok(())
     }
 
-    /// Kills the process, which was sent SIGTERM earlier, if it still runs; returns whether it had exited by itself with
-    /// success.
-    fn kill(&mut self) -> io::Result<bool> {
-        let Some(process) = self.process.take() else { return Ok(true) };
+    /// Kills the process, which was sent SIGTERM earlier, if it still runs; returns how it had ended.
+    fn kill(&mut self) -> io::Result<ExitKind> {
+        let Some(process) = self.process.take() else { return Ok(ExitKind::Succeeded) };
         let exit = process.kill()?;
         self.violations.extend(exit.violations);
-        Ok(exit.succeeded)
+        Ok(exit.kind)
     }
 }
 
@@ -170,6 +186,10 @@
     /// The values that were asked for while servers paused, by node.
     paused_value_reports: Vec<(usize, PausedValueReport)>,
     unreading_clients: usize,
+    /// The node whose clients read nothing, if there are such clients.
+    crowded_node: Option<usize>,
+    /// The clients that have sent much at once and left, by node.
+    departures: Vec<(usize, Departure)>,
     flood_commands: usize,
     /// The most memory that a node's process has held, in MiB.
     peak_memory_mib: usize,
@@ -192,13 +212,14 @@
             // Each node has its own loopback address, so that no outgoing connection takes its port while it is down.
             let listen = SocketAddr::from(([127, 77, (seed % 250) as u8, node as u8 + 1], 0));
             let config_file = folder.join(format!("node-{node}.json"));
-            let (pauses, terminated_at, violations) = Default::default();
+            let (pauses, terminated_at, killed_answering_at, violations) = Default::default();
             NodeSlot {
                 process: None,
                 listen,
                 config_file,
                 pauses,
                 terminated_at,
+                killed_answering_at,
                 is_terminating: false,
                 violations,
             }
@@ -223,6 +244,8 @@
             slow_reader_reports,
             paused_value_reports,
             unreading_clients: 0,
+            crowded_node: None,
+            departures: Vec::new(),
             flood_commands: 0,
             peak_memory_mib: 0,
             run_delays,
@@ -253,13 +276,15 @@
         let slot = &mut self.slots[node];
         match action {
             ProcessAction::Signal(signal) => slot.signal(signal, now)?,
-            ProcessAction::Kill => {
-                if !slot.kill()? {
+            ProcessAction::Kill => match slot.kill()? {
+                ExitKind::Succeeded => {}
+                ExitKind::StillAnswering => slot.killed_answering_at.push(now),
+                ExitKind::Failed => {
                     let message =
                         format!("{} did not exit by itself with success after SIGTERM", slot.listen);
                     self.violations.push(message);
                 }
-            }
+            },
             ProcessAction::Start => slot.start(&self.program, &self.system_calls, &self.fleet)?,
             ProcessAction::AdvanceScript => {}
             ProcessAction::OpenIdleConnections(count) => {
@@ -286,6 +311,7 @@
                     self.seed * 1000 + node as u64,
                     pace,
                     until,
+                    clock.clone(),
                 ))
             })
             .collect();
@@ -305,7 +331,7 @@
                 runtime.spawn(run_slow_reader(self.slots[node].listen, seed, start + FAULT_PERIOD))
             })
             .collect();
-        let paused_values: Vec<_> = (0..NODES)
+        let mut paused_values: Vec<_> = (0..NODES)
             .step_by(PAUSED_VALUE_INTERVAL)
             .map(|node| {
                 let (seed, from) =
@@ -314,9 +340,16 @@
                 (node, runtime.spawn(reading))
             })
             .collect();
+        for LateKill { node, sigterm_at } in late_kills(&process_actions(self.seed)) {
+            let seed = self.seed * 1000 + (NODES + node) as u64;
+            let from = start + sigterm_at.saturating_sub(READS_BEFORE_SIGTERM);
+            let reading = read_paused_values(self.slots[node].listen, seed, from, clock.clone());
+            paused_values.push((node, runtime.spawn(reading)));
+        }
         // The nodes and times of a crowd that reads nothing and of a flood.
-        let (crowded, flooded) =
-            (self.slots[rng.usize(..NODES)].listen, self.slots[rng.usize(..NODES)].listen);
+        let (crowded_node, flooded_node) = (rng.usize(..NODES), rng.usize(..NODES));
+        let (crowded, flooded) = (self.slots[crowded_node].listen, self.slots[flooded_node].listen);
+        self.crowded_node = self.unreading_crowd.then_some(crowded_node);
         let mut drawn_time = || start + Duration::from_millis(rng.u64(500..3000));
         // On a thread of their own, so that they delay no other client.
         let crowd_runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
@@ -325,6 +358,16 @@
             .unreading_crowd
             .then(|| crowd_runtime.spawn(ask_and_read_nothing(crowded, self.seed, crowd_begins)));
         let flood = crowd_runtime.spawn(flood(flooded, self.seed, drawn_time()));
+        let first_left = rng.usize(..LEAVING_CLIENT_INTERVAL);
+        let leaving: Vec<_> = (first_left..NODES)
+            .step_by(LEAVING_CLIENT_INTERVAL)
+            .map(|node| {
+                let (seed, from) =
+                    (self.seed * 1000 + node as u64, start + Duration::from_millis(rng.u64(300..3000)));
+                let visits = send_much_and_leave(self.slots[node].listen, seed, from, clock.clone());
+                (node, crowd_runtime.spawn(visits))
+            })
+            .collect();
         let processes = Arc::new(Mutex::new(self.process_ids()));
         let ended = Arc::new(AtomicBool::new(false));
         let sampling = {
@@ -349,6 +392,10 @@
             self.unreading_clients = runtime.block_on(crowd).map_err(io::Error::other)?;
         }
         self.flood_commands = runtime.block_on(flood).map_err(io::Error::other)?;
+        for (node, visits) in leaving {
+            let departures = runtime.block_on(visits).map_err(io::Error::other)?;
+            self.departures.extend(departures.into_iter().map(|departure| (node, departure)));
+        }
         let mut reports = Vec::new();
         for load in loads {
             reports.push(runtime.block_on(load).map_err(io::Error::other)?);
@@ -393,16 +440,6 @@
         }
     }
 
-    /// Descriptions of values that were cut off though their server gave them whole or was still giving them, by the ids of
-    /// those. A process that was told to end may have been ended in the middle of a value.
-    fn cut_off_paused_values(&self, given: &BTreeSet<&str>) -> impl Iterator<Item = String> {
-        let cut_off = self.paused_value_reports.iter().filter(|(node, report)| {
-            let terminated = self.slots[*node].terminated_at.iter().any(|at| *at <= report.ended);
-            report.value.is_cut_off() && !terminated && given.contains(report.value.id.as_str())
-        });
-        cut_off.map(|(_, report)| format!("cut off while its server paused: {:?}", report.value))
-    }
-
     /// How many clients sent commands after SIGTERM while they still read a large value.
     fn slow_readers_across_sigterm(&self) -> usize {
         self.slow_reader_reports.iter().filter(|report| report.sent_while_reading).count()
@@ -424,10 +461,12 @@
         let asks_before = asks.len();
         asks.retain(|(node, ask)| !arrived_while_listener_closed(ask, &self.slots[*node].terminated_at));
         let lost_at_listener_close = asks_before - asks.len();
-        let asks: Vec<ClientRequest> = asks.into_iter().map(|(_, ask)| ask).collect();
-        let max_allowance_us = asks.iter().map(|ask| ask.scheduling_delay).max().unwrap_or(0) as usize;
         let (records, dropped) = self.fleet.records();
         let mut violations = self.violations.clone();
+        violations.extend(self.killed_without_begun_values(&records, &asks));
+        violations.extend(self.attempts_for_departed(&records));
+        let asks: Vec<ClientRequest> = asks.into_iter().map(|(_, ask)| ask).collect();
+        let max_allowance_us = asks.iter().map(|ask| ask.scheduling_delay).max().unwrap_or(0) as usize;
         let broken = check((&records, dropped), &asks, doubled, LIST_CHANGE_GRACE_US);
         violations.extend(broken.iter().map(Violation::to_string));
         // A paused node may report broken rules that are due to its pause. For such nodes only the check above counts, which
@@ -451,27 +490,18 @@
         let cut_off = cut_off.filter(|report| given_whole.contains(report.id.as_str()));
         violations.extend(cut_off.map(|report| format!("cut off: {report:?}")));
         let given: BTreeSet<&str> = records.iter().filter_map(value_given).collect();
-        violations.extend(self.cut_off_paused_values(&given));
+        violations.extend(self.cut_off_paused_values(&given, &records));
         let paused = records.iter().filter(|record| matches!(record.event, Event::AnswerPaused(_))).count();
-        for report in &self.pipeline_reports {
-            for unanswered in &report.unanswered {
-                let id = &unanswered.id;
-                if forwarded.contains(id.as_str()) {
-                    violations.push(format!("lost: {id} was read and forwarded but never answered"));
-                } else if unanswered.is_overdue(allowance) {
-                    violations.push(format!("lost: {id} had waited too long when its connection ended"));
-                }
-            }
-            violations.extend(
-                report.foreign_answers.iter().map(|id| format!("{id} got the answer of another request")),
-            );
-        }
+        violations.extend(self.pipeline_violations(&forwarded, allowance));
         let pipelined: usize = self.pipeline_reports.iter().map(|report| report.answered).sum();
         let after_partial_value = |report: &PipelineReport| {
             report.unanswered.iter().filter(|unanswered| unanswered.after_partial_value).count()
         };
         let after_partial_value: usize = self.pipeline_reports.iter().map(after_partial_value).sum();
         let large_writes: usize = self.pipeline_reports.iter().map(|report| report.large_writes).sum();
+        let large_reads: usize = self.pipeline_reports.iter().map(|report| report.large_reads).sum();
+        let failed_large_reads: usize =
+            self.pipeline_reports.iter().map(|report| report.failed_large_reads).sum();
         let repeated =
             records.iter().filter(|record| matches!(record.event, Event::AnswerRepeated(_))).count();
         let halted = records.iter().filter(|record| matches!(record.event, Event::AnswerHalted(_))).count();
@@ -489,6 +519,11 @@
             ("attempts", asked),
             ("pipelined", pipelined),
             ("large writes in pipelines", large_writes),
+            ("large reads in pipelines", large_reads),
+            ("large reads in pipelines that failed", failed_large_reads),
+            ("sent much and left", self.departures.len()),
+            ("values that outlived the time for answers", self.values_beyond_answer_time()),
+            ("killed with answers begun", self.slots.iter().map(|slot| slot.killed_answering_at.len()).sum()),
             ("unread behind a broken value", after_partial_value),
             ("lost as the listener closed", lost_at_listener_close),
             ("stopped in a write", self.stopped_write_reports.iter().map(|report| report.stopped).sum()),
@@ -513,31 +548,6 @@
     }
 }
 
-/// The violations that clients saw beside others that stopped in a write.
-fn stopped_write_violations(report: &StoppedWriteReport, allowance: Duration) -> Vec<String> {
-    let kept = report.kept_too_long.iter().filter(|kept| **kept > STOPPED_CLIENT_LIMIT + allowance);
-    let kept = kept.map(|kept| format!("a client that stopped in a write was kept for {kept:?}"));
-    let late = report.late.iter().filter(|late| late.beyond_limit > allowance);
-    let late = late.map(|late| format!("lost: {} was answered {:?} too late", late.id, late.beyond_limit));
-    kept.chain(late).collect()
-}
-
-/// The id of a request whose large value a server has sent whole, or was still sending when its node closed.
-fn value_given(record: &Record) -> Option<&str> {
-    match &record.event {
-        Event::LargeValueSent(request) | Event::ValueAbandoned(request) => Some(&request.id),
-        _ => None,
-    }
-}
-
-/// The id of a request whose large value a server has sent whole.
-fn large_value_sent(record: &Record) -> Option<&str> {
-    match &record.event {
-        Event::LargeValueSent(request) => Some(&request.id),
-        _ => None,
-    }
-}
-
 /// Opens connections that send half a command or nothing and stay open.
 fn open_idle_connections(listen: SocketAddr, count: usize) -> Vec<TcpStream> {
     let connect = |n: usize| {
@@ -550,24 +560,3 @@
     };
     (0..count).map_while(connect).collect()
 }
-
-/// Whether a request was lost because its new connection arrived between its node's last accept and the close of the
-/// listener. New connections arrive for at most 0.4 s after SIGTERM, and the node accepts them for 0.5 s.
-fn arrived_while_listener_closed(ask: &ClientRequest, terminated_at: &[Micros]) -> bool {
-    let is_closing = |sigterm_at: &Micros| {
-        let since_sigterm = ask.sent.saturating_sub(*sigterm_at);
-        (MAX_NEW_CONNECTION_DELAY_US
-            ..=LISTENER_CLOSE_DELAY_US + MAX_PAUSE.as_micros() as Micros + ask.scheduling_delay)
-            .contains(&since_sigterm)
-    };
-    ask.outcome == Outcome::ConnectionClosed && ask.resent.is_none() && terminated_at.iter().any(is_closing)
-}
-
-/// Adds the longest pause of the node that overlaps a request to the lateness that the check tolerates, because the operators
-/// accept that a paused node acts that much later.
-fn allow_for_pauses(mut ask: ClientRequest, pauses: &[(Micros, Micros)]) -> ClientRequest {
-    let overlaps = |(begin, end): &&(Micros, Micros)| *begin <= ask.ended && ask.sent <= *end;
-    let allowance = pauses.iter().filter(overlaps).map(|(begin, end)| end.saturating_sub(*begin)).max();
-    ask.scheduling_delay += allowance.unwrap_or(0);
-    ask
-}
--- a/crates/fleet/src/soak/pipelined.rs
+++ b/crates/fleet/src/soak/pipelined.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clients::{encode_command_with_value, is_value_for};
+use crate::clock::{Clock, Micros};
 
 /// The number of requests that a steady client keeps in flight.
 const STEADY_IN_FLIGHT: usize = 3;
@@ -23,6 +24,9 @@
 const LARGE_WRITE_INTERVAL: usize = 9;
 /// The size of the value of a large write, in bytes.
 const LARGE_VALUE_BYTES: usize = 40_000;
+/// One in this many commands is a read of a large value, of this many bytes.
+const LARGE_READ_INTERVAL: usize = 7;
+const LARGE_READ_FACTS: &str = "c=lookup,d=600,size=200000";
 /// The class and deadline that the requests state: 1990 ms is nearly the longest deadline of the settings.
 const READ_FACTS: &str = "c=lookup,d=1990";
 const WRITE_FACTS: &str = "c=signup,d=1990";
@@ -51,8 +55,10 @@
     seed: u64,
     pace: Pace,
     until: Instant,
+    clock: Clock,
 ) -> PipelineReport {
-    let mut client = Client { seed, pace, next_number: 0, rng: fastrand::Rng::with_seed(seed), until };
+    let rng = fastrand::Rng::with_seed(seed);
+    let mut client = Client { seed, pace, next_number: 0, rng, until, clock };
     let mut report = PipelineReport::default();
     while Instant::now() < until {
         match TcpStream::connect(node).await {
@@ -69,8 +75,13 @@
     pub answered: usize,
     /// The number of large writes that were written completely.
     pub large_writes: usize,
+    /// The number of reads of large values that were answered, and of those that were answered as failed.
+    pub large_reads: usize,
+    pub failed_large_reads: usize,
     /// Requests that had no answer when their connection ended.
     pub unanswered: Vec<Unanswered>,
+    /// The ids of requests of whose answer a part had come when their connection ended or was given up.
+    pub partly_answered: Vec<String>,
     /// The ids of requests that were answered with the value of another request.
     pub foreign_answers: Vec<String>,
 }
@@ -79,8 +90,9 @@
 pub(super) struct Unanswered {
     pub id: String,
     pub written_at: Instant,
-    /// When its connection ended.
+    /// When its connection ended, also on the fleet's clock.
     pub ended_at: Instant,
+    pub ended: Micros,
     /// Whether the connection ended within the value of an earlier request, so that no later answer could follow.
     pub after_partial_value: bool,
 }
@@ -97,6 +109,8 @@
 struct InFlight {
     id: String,
     key: String,
+    /// Whether it reads a large value.
+    is_large_read: bool,
     written_at: Instant,
 }
 
@@ -107,6 +121,7 @@
     next_number: usize,
     rng: fastrand::Rng,
     until: Instant,
+    clock: Clock,
 }
 
 impl Client {
@@ -129,14 +144,15 @@
         }
         // The request whose value has begun counts as answered in part, not as unanswered.
         let after_partial_value = !buffer.is_empty();
-        if after_partial_value {
-            in_flight.pop_front();
+        if after_partial_value && let Some(request) = in_flight.pop_front() {
+            report.partly_answered.push(request.id);
         }
-        let ended_at = Instant::now();
+        let (ended_at, ended) = (Instant::now(), self.clock.now());
         let unanswered = |InFlight { id, written_at, .. }: InFlight| Unanswered {
             id,
             written_at,
             ended_at,
+            ended,
             after_partial_value,
         };
         report.unanswered.extend(in_flight.into_iter().map(unanswered));
@@ -178,6 +194,7 @@
         let id = format!("p{:08x}-{}", self.seed, self.next_number);
         let key = format!("{:016x}", self.next_number % 50);
         self.next_number += 1;
+        let mut is_large_read = false;
         let text = if self.next_number.is_multiple_of(LARGE_WRITE_INTERVAL) {
             report.large_writes += 1;
             encode_command_with_value(
@@ -187,15 +204,19 @@
                 Some(&[b'x'; LARGE_VALUE_BYTES]),
             )
         } else {
-            encode_command_with_value(&key, &id, READ_FACTS, None)
+            is_large_read = self.next_number.is_multiple_of(LARGE_READ_INTERVAL);
+            let facts = if is_large_read { LARGE_READ_FACTS } else { READ_FACTS };
+            encode_command_with_value(&key, &id, facts, None)
         };
-        (InFlight { id, key, written_at: Instant::now() }, text)
+        (InFlight { id, key, is_large_read, written_at: Instant::now() }, text)
     }
 }
 
 impl PipelineReport {
     fn record_answer(&mut self, request: &InFlight, frame: &Frame) {
         self.answered += 1;
+        self.large_reads += usize::from(request.is_large_read);
+        self.failed_large_reads += usize::from(request.is_large_read && matches!(frame, Frame::Error(_)));
         if let Frame::BulkString(value) = frame
             && !is_value_for(value, &request.id, &request.key)
         {
--- a/crates/fleet/src/soak/process.rs
+++ b/crates/fleet/src/soak/process.rs
@@ -15,20 +15,41 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(60);
 /// The text by which a node's log reports that it broke a rule.
 const VIOLATION_MESSAGE: &str = "a rule was broken";
+/// The text by which an ending node's log reports that it waits for answers that have begun.
+const STILL_ANSWERING_MESSAGE: &str = "answers are still being written";
 
 /// A running node. Dropping it kills the process.
 pub(super) struct Process {
     child: Child,
     /// The address it listens at.
     pub listen: SocketAddr,
-    /// The thread that reads the log to its end; returns the lines that report broken rules.
-    log: Option<JoinHandle<Vec<String>>>,
+    /// The thread that reads the log to its end.
+    log: Option<JoinHandle<LogReport>>,
+}
+
+/// What the log of a process reports.
+#[derive(Default)]
+struct LogReport {
+    /// The lines that report broken rules.
+    violations: Vec<String>,
+    /// Whether it waited for answers that had begun when its time for answers was over.
+    still_answering: bool,
+}
+
+/// How a process had ended when the platform killed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ExitKind {
+    /// By itself, with success.
+    Succeeded,
+    /// Not yet: it was still writing answers that had begun.
+    StillAnswering,
+    /// Not yet, for no known reason, or with an error.
+    Failed,
 }
 
 /// How a process ended.
 pub(super) struct ExitReport {
-    /// Whether it exited by itself, with success.
-    pub succeeded: bool,
+    pub kind: ExitKind,
     /// The log lines that report broken rules.
     pub violations: Vec<String>,
 }
@@ -78,11 +99,17 @@
 
     /// Kills it if it still runs, and returns how it ended.
     pub fn kill(mut self) -> io::Result<ExitReport> {
-        let succeeded = self.child.try_wait()?.is_some_and(|status| status.success());
+        let exited = self.child.try_wait()?;
         let _ = self.child.kill(); // it may already have exited
         self.child.wait()?;
-        let violations = self.log.take().and_then(|log| log.join().ok());
-        Ok(ExitReport { succeeded, violations: violations.unwrap_or_default() })
+        let LogReport { violations, still_answering } =
+            self.log.take().and_then(|log| log.join().ok()).unwrap_or_default();
+        let kind = match exited {
+            Some(status) if status.success() => ExitKind::Succeeded,
+            None if still_answering => ExitKind::StillAnswering,
+            _ => ExitKind::Failed,
+        };
+        Ok(ExitReport { kind, violations })
     }
 }
 
@@ -93,18 +120,19 @@
     }
 }
 
-/// Reads a log to its end: sends the address at which the node listens, and returns the lines that report broken rules.
-fn follow_log(log: ChildStderr, ready: &mpsc::Sender<SocketAddr>) -> Vec<String> {
-    let mut violations = Vec::new();
+/// Reads a log to its end, and sends the address at which the node listens.
+fn follow_log(log: ChildStderr, ready: &mpsc::Sender<SocketAddr>) -> LogReport {
+    let mut report = LogReport::default();
     for line in BufReader::new(log).lines().map_while(Result::ok) {
         if let Some(address) =
             line.rsplit_once("listening on ").and_then(|(_, text)| text.trim().parse().ok())
         {
             let _ = ready.send(address); // the receiver may have timed out
         }
+        report.still_answering |= line.contains(STILL_ANSWERING_MESSAGE);
         if line.contains(VIOLATION_MESSAGE) {
-            violations.push(line);
+            report.violations.push(line);
         }
     }
-    violations
+    report
 }
--- a/crates/fleet/src/soak/slow_clients.rs
+++ b/crates/fleet/src/soak/slow_clients.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub(super) struct PausedValueReport {
     pub value: SlowReaderReport,
+    /// When it had begun to come, on the fleet's clock.
+    pub began: Micros,
     /// When its connection ended or its last byte came, on the fleet's clock.
     pub ended: Micros,
 }
@@ -50,7 +52,7 @@
     let mut reports = Vec::new();
     for n in 0..WARM_UP_READS + PAUSED_VALUES {
         let Ok(mut stream) = TcpStream::connect(node).await else { continue };
-        let id = format!("p{seed:08x}-{n}");
+        let id = format!("v{seed:08x}-{n}");
         let facts = match n < WARM_UP_READS {
             true => "c=lookup,d=990".to_owned(),
             false => format!("{PAUSED_VALUE_FACTS},size={PAUSED_VALUE_BYTES}"),
@@ -63,8 +65,9 @@
             continue;
         }
         let mut value = SlowReaderReport { id, come, wanted, sent_while_reading: false };
+        let began = clock.now();
         value.come += read_to_end(&mut stream, wanted - come).await;
-        reports.push(PausedValueReport { value, ended: clock.now() });
+        reports.push(PausedValueReport { value, began, ended: clock.now() });
     }
     reports
 }
