Soak: commands behind a value that outlives the time for answers stay unread

Cause: with the platform's kill later than the earliest, a value may be whole after its node has stopped reading (2.35 s after SIGTERM). Commands behind it were never read, and their client sends them again on a new connection (PROTOCOL, 'Clients to nodes'); reading them could leave them without an answer at a kill.

Change: such a command counts as lost unless the last answer before it was a whole large value and the connection ended after the node's time for reading. All others are held as before.

--- a/crates/fleet/src/soak/checks.rs
+++ b/crates/fleet/src/soak/checks.rs
@@ -4,15 +4,25 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use super::pipelined::Unanswered;
 use super::stopped_writes::{STOPPED_CLIENT_LIMIT, StoppedWriteReport};
 use super::{
     ANSWER_TIME_US, LISTENER_CLOSE_DELAY_US, MAX_NEW_CONNECTION_DELAY_US, MAX_PAUSE, NODES, NodeSlot,
-    PIPELINING_CLIENT_INTERVAL, PausedValueReport, SOCKET_CLOSE_TIME_US, Soak,
+    PIPELINING_CLIENT_INTERVAL, PausedValueReport, READ_TIME_US, SOCKET_CLOSE_TIME_US, Soak,
 };
 use crate::clients::{ClientRequest, Outcome};
 use crate::clock::Micros;
 use crate::record::{Event, Record};
 
+impl NodeSlot {
+    /// Whether a request lay behind a large value that flowed until the node read no more commands, because a kill would
+    /// have left them without an answer. Its client sends it again on a new connection.
+    fn read_no_more_behind_value(&self, unanswered: &Unanswered) -> bool {
+        let reads_no_more = |sigterm_at: &Micros| *sigterm_at + READ_TIME_US <= unanswered.ended;
+        unanswered.after_large_value && self.terminated_at.iter().any(reads_no_more)
+    }
+}
+
 impl Soak {
     /// Descriptions of values that were cut off though their server gave them whole or was still giving them, by the ids of
     /// those. A process that was told to end may have been killed in the middle of a value.
@@ -103,7 +113,7 @@
                 let id = &unanswered.id;
                 if forwarded.contains(id.as_str()) {
                     broken.push(format!("lost: {id} was read and forwarded but never answered"));
-                } else if unanswered.is_overdue(allowance) {
+                } else if unanswered.is_overdue(allowance) && !slot.read_no_more_behind_value(unanswered) {
                     broken.push(format!(
                         "lost: {id} had waited {:?} when its connection ended at {}; {} was told to end at {:?}, killed \
                          with answers begun at {:?}",
--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -85,6 +85,8 @@
 /// By when after SIGTERM a node has answered all requests, in microseconds. What flows after that has outlived the time for
 /// answers.
 const ANSWER_TIME_US: Micros = 2_650_000;
+/// For how long after SIGTERM a node reads commands, in microseconds.
+const READ_TIME_US: Micros = 2_350_000;
 /// By when after a kill the clients of the process have seen their connections end, in microseconds.
 const SOCKET_CLOSE_TIME_US: Micros = 100_000;
 /// The memory that a process of a node may hold, in MiB: half of what its configuration allows.
--- a/crates/fleet/src/soak/pipelined.rs
+++ b/crates/fleet/src/soak/pipelined.rs
@@ -95,6 +95,8 @@
     pub ended: Micros,
     /// Whether the connection ended within the value of an earlier request, so that no later answer could follow.
     pub after_partial_value: bool,
+    /// Whether the last answer on the connection was a whole large value.
+    pub after_large_value: bool,
 }
 
 impl Unanswered {
@@ -128,6 +130,7 @@
     /// Sends requests on one connection until it ends.
     async fn run_connection(&mut self, mut stream: TcpStream, report: &mut PipelineReport) {
         let (mut in_flight, mut buffer) = (VecDeque::new(), BytesMut::new());
+        let mut after_large_value = false;
         loop {
             if !self.write_next(&mut stream, &mut in_flight, report).await || in_flight.is_empty() {
                 break;
@@ -137,6 +140,7 @@
             while let Ok(Some(frame)) = next_frame(&mut buffer, MAX_ANSWER_BYTES) {
                 let Some(request) = in_flight.pop_front() else { break };
                 report.record_answer(&request, &frame);
+                after_large_value = request.is_large_read && matches!(frame, Frame::BulkString(_));
             }
             if !open {
                 break;
@@ -154,6 +158,7 @@
             ended_at,
             ended,
             after_partial_value,
+            after_large_value,
         };
         report.unanswered.extend(in_flight.into_iter().map(unanswered));
     }
