Soak: end a node's pause at SIGCONT though its process has exited

Cause: a process that was just ending as SIGSTOP was sent may exit in place of stopping. At SIGCONT it no longer ran, and its pause was recorded without an end, so that all later requests of the node were allowed to be late by the largest number; adding to it panicked (clients.rs, is_late: "attempt to add with overflow").

Change: SIGCONT ends the pause whether or not the process still runs. The check is stricter by it: no request gets an endless allowance.

--- a/crates/fleet/src/soak/mod.rs
+++ b/crates/fleet/src/soak/mod.rs
@@ -149,6 +149,10 @@
     }
 
     fn signal(&mut self, signal: Signal, now: Micros) -> io::Result<()> {
+        if signal == Signal::CONT {
+            // A process that was just ending may have exited in place of stopping: its pause ends all the same.
+            self.pauses.iter_mut().for_each(|(_, end)| *end = now.min(*end));
+        }
         let Some(process) = &mut self.process else { return Ok(()) };
         if !process.signal(signal)? {
             return Ok(());
@@ -158,7 +162,6 @@
                 self.terminated_at.push(now)
             }
             Signal::STOP => self.pauses.push((now, Micros::MAX)),
-            Signal::CONT => self.pauses.iter_mut().for_each(|(_, end)| *end = now.min(*end)),
             _ => {}
         }
         Ok(())
